Lay out the build, the public header and the checks

The decision library and its driver are kept apart from the start, so that unit tests, fuzz targets and other drivers use the same decisions.

--- /dev/null
+++ b/src/process/names.c
@@ -0,0 +1,79 @@
+/*
+ * Names of the public enumerations, for messages and logs.
+ */
+#include "dogwoodshift.h"
+
+static const char *const error_names[] = {
+	[DWS_ERROR_SYNTAX] = "syntax",
+	[DWS_ERROR_UNKNOWN_KEY] = "unknown-key",
+	[DWS_ERROR_VALUE] = "value",
+	[DWS_ERROR_CONFLICT] = "conflict",
+	[DWS_ERROR_TOO_LARGE] = "too-large",
+	[DWS_ERROR_FRAME] = "frame",
+	[DWS_ERROR_TICKET] = "ticket",
+	[DWS_ERROR_SYSTEM] = "system",
+	[DWS_ERROR_PEER] = "peer",
+};
+
+static const char *const outcome_names[] = {
+	[DWS_OUTCOME_COMPLETE] = "complete",
+	[DWS_OUTCOME_NOT_RUN] = "not-run",
+	[DWS_OUTCOME_UNKNOWN] = "unknown",
+};
+
+static const char *const reason_names[DWS_REASON_COUNT] = {
+	[DWS_REASON_NONE] = "none",
+	[DWS_REASON_BAD_REQUEST] = "bad-request",
+	[DWS_REASON_NO_KIND] = "no-kind",
+	[DWS_REASON_NO_TICKET] = "no-ticket",
+	[DWS_REASON_BAD_TICKET] = "bad-ticket",
+	[DWS_REASON_TICKET_EXPIRED] = "ticket-expired",
+	[DWS_REASON_TICKET_REUSED] = "ticket-reused",
+	[DWS_REASON_HOME_UNREACHABLE] = "home-unreachable",
+	[DWS_REASON_NO_PARENT] = "no-parent",
+	[DWS_REASON_TOO_DEEP] = "too-deep",
+	[DWS_REASON_RETRY_BUDGET] = "retry-budget",
+	[DWS_REASON_CUSTOMER_BUDGET] = "customer-budget",
+	[DWS_REASON_OVERLOAD] = "overload",
+	[DWS_REASON_NO_ENDPOINT] = "no-endpoint",
+	[DWS_REASON_DRAINING] = "draining",
+	[DWS_REASON_STARTING] = "starting",
+	[DWS_REASON_DEADLINE] = "deadline",
+	[DWS_REASON_CANCELLED] = "cancelled",
+	[DWS_REASON_UPSTREAM_LOST] = "upstream-lost",
+	[DWS_REASON_LEDGER_FULL] = "ledger-full",
+	[DWS_REASON_TOO_LARGE] = "too-large",
+};
+
+/* Names an entry of a table; "unknown-value" for numbers outside it. */
+static const char *name_of(const char *const *names, size_t count,
+			   unsigned int value)
+{
+	if (value >= count || !names[value])
+		return "unknown-value";
+	return names[value];
+}
+
+/* The GError domain of all errors of this library. */
+GQuark dws_error_quark(void)
+{
+	return g_quark_from_static_string("dogwoodshift");
+}
+
+/* The name of an error kind, as printed in logs. */
+const char *dws_error_name(dws_error_t error)
+{
+	return name_of(error_names, G_N_ELEMENTS(error_names), error);
+}
+
+/* The name of an outcome, as callers see it. */
+const char *dws_outcome_name(dws_outcome_t outcome)
+{
+	return name_of(outcome_names, G_N_ELEMENTS(outcome_names), outcome);
+}
+
+/* The name of a refusal's reason, as callers see it. */
+const char *dws_reason_name(dws_reason_t reason)
+{
+	return name_of(reason_names, G_N_ELEMENTS(reason_names), reason);
+}
--- /dev/null
+++ b/src/process/routing.h
@@ -0,0 +1,47 @@
+/*
+ * Choice of the endpoint VM for a call: the own zone first, another zone when
+ * it has no room, the less loaded of two random candidates.
+ */
+#ifndef DWS_PROCESS_ROUTING_H
+#define DWS_PROCESS_ROUTING_H
+
+#include "process/membership.h"
+#include "request/admission.h"
+
+typedef struct dws_routing dws_routing_t;
+
+typedef enum dws_route_result {
+	DWS_ROUTE_FOUND,
+	DWS_ROUTE_BUSY, /* all that are in reach admit only more urgent work */
+	DWS_ROUTE_NONE, /* none is in reach */
+} dws_route_result_t;
+
+dws_routing_t *dws_routing_new(dws_membership_t *membership, uint64_t seed);
+void dws_routing_free(dws_routing_t *routing);
+
+/*
+ * Picks a member for a service. Members in excluded (vm ids, may be NULL)
+ * are taken only if none else is in reach. The member's outstanding count
+ * goes up when dws_routing_started() is called.
+ */
+dws_route_result_t dws_routing_pick(dws_routing_t *routing, int64_t now_us,
+				    const char *service, uint8_t priority,
+				    const GPtrArray *excluded,
+				    const dws_member_t **member);
+void dws_routing_started(dws_routing_t *routing, const char *vm_id);
+/*
+ * Ends a call. A load of NULL means that nothing came back: the member is
+ * avoided for a while, longer each time in a row.
+ */
+void dws_routing_ended(dws_routing_t *routing, int64_t now_us,
+		       const char *vm_id, const dws_load_t *load);
+/* When a member that is busy now may be tried again; DWS_NEVER_US if none. */
+int64_t dws_routing_retry_us(const dws_routing_t *routing, int64_t now_us,
+			     const char *service);
+/* Forgets what is known of members that are gone. */
+void dws_routing_forget(dws_routing_t *routing, const char *vm_id);
+/* Time since the load of a member was heard, in us; -1 if never. */
+int64_t dws_routing_load_age_us(const dws_routing_t *routing, int64_t now_us,
+				const char *vm_id);
+
+#endif
--- /dev/null
+++ b/src/version/config.h
@@ -0,0 +1,84 @@
+/*
+ * One version of the configuration, checked whole and never changed after.
+ * Requests hold a reference to the version that they were admitted with.
+ */
+#ifndef DWS_VERSION_CONFIG_H
+#define DWS_VERSION_CONFIG_H
+
+#include "dogwoodshift.h"
+
+#define DWS_CONFIG_MAX_BYTES (1024 * 1024)
+#define DWS_NAME_SIZE 64
+
+/* A kind of work. Higher priorities are refused last. */
+typedef struct dws_kind {
+	char name[DWS_NAME_SIZE];
+	char service[DWS_NAME_SIZE];
+	char method[16]; /* "" matches all */
+	char path_prefix[128]; /* after the service's part of the path */
+	uint8_t priority; /* 0 is refused first */
+	uint32_t worth; /* share among kinds of equal priority */
+	bool idempotent;
+	uint32_t calls_per_parent; /* free nested calls of one parent */
+	uint32_t retry_budget; /* of a root request of this kind */
+	uint32_t timeout_ms;
+} dws_kind_t;
+
+typedef struct dws_service {
+	char name[DWS_NAME_SIZE];
+	uint32_t slots; /* per upstream; 0: the process settings decide */
+} dws_service_t;
+
+/* A planned slowdown of called customers' requests. */
+typedef struct dws_slowdown {
+	char name[DWS_NAME_SIZE];
+	int64_t start_ms; /* UTC */
+	int64_t end_ms;
+	uint32_t added_delay_ms;
+	GPtrArray *kinds; /* char * */
+	GPtrArray *customers; /* char *, all that are to be called */
+	GHashTable *called; /* char * set, called for exactly this window */
+} dws_slowdown_t;
+
+typedef struct dws_config {
+	uint32_t references;
+	uint64_t version;
+	GArray *services; /* dws_service_t */
+	GArray *kinds; /* dws_kind_t; indexes are stable in a version */
+	GPtrArray *slowdowns; /* dws_slowdown_t *, owned */
+	uint32_t customer_retries_per_min;
+	uint32_t slowdown_freshness_ms;
+	uint32_t slowdown_clock_skew_ms;
+} dws_config_t;
+
+/*
+ * Builds and checks a version from a YAML document. NULL with every fault in
+ * one error message.
+ */
+dws_config_t *dws_config_parse(const char *text, size_t size_bytes,
+			       const char *name, uint64_t version,
+			       GError **error);
+dws_config_t *dws_config_ref(dws_config_t *config);
+void dws_config_unref(dws_config_t *config);
+
+/*
+ * Finds the kind of a request by service, method and longest path prefix.
+ * The path is "/service/rest?query". NULL if none matches.
+ */
+const dws_kind_t *dws_config_match(const dws_config_t *config,
+				   const char *method, const char *path);
+const dws_kind_t *dws_config_kind(const dws_config_t *config, const char *name);
+const dws_service_t *dws_config_service(const dws_config_t *config,
+					const char *name);
+
+/*
+ * The delay in ms that a planned slowdown adds to a request; 0 unless the
+ * customer was called for exactly the window that surely is on, and the
+ * configuration was confirmed recently enough. age_ms is the time since a
+ * confirmation. In doubt the customer is served in full.
+ */
+uint32_t dws_config_slowdown_ms(const dws_config_t *config, const char *kind,
+				const char *customer, int64_t wall_ms,
+				int64_t age_ms);
+
+#endif
