Add stand-ins for the platform, upstreams, customers and links

Failure tests and measurements need the processes around a daemon. Each is one small program with a bounded life; they share the loop glue for libmicrohttpd and libcurl.

--- /dev/null
+++ b/test/support/client.h
@@ -0,0 +1,25 @@
+/*
+ * Many HTTP exchanges at once on the event loop of a stand-in.
+ */
+#ifndef DWS_TEST_CLIENT_H
+#define DWS_TEST_CLIENT_H
+
+#include <ev.h>
+
+#include "support/http.h"
+
+typedef struct client {
+	CURLM *multi;
+	struct ev_loop *loop;
+	ev_timer timer;
+} client_t;
+
+typedef void (*client_done_t)(void *data, http_exchange_t *exchange);
+
+void client_init(client_t *client, struct ev_loop *loop,
+		 uint32_t max_connections);
+/* Starts a prepared exchange and owns it; done is called once, then it goes. */
+void client_send(client_t *client, http_exchange_t *exchange,
+		 client_done_t done, void *data);
+
+#endif
--- /dev/null
+++ b/test/support/http.c
@@ -0,0 +1,97 @@
+/*
+ * One HTTP exchange with its answer kept whole.
+ */
+#include "support/http.h"
+
+#include <string.h>
+
+static size_t on_body(char *data, size_t size, size_t count, void *context)
+{
+	http_exchange_t *exchange = context;
+
+	g_string_append_len(exchange->body, data, (gssize)(size * count));
+	return size * count;
+}
+
+static size_t on_header(char *data, size_t size, size_t count, void *context)
+{
+	http_exchange_t *exchange = context;
+	char *line = g_strndup(data, size * count);
+	char *colon = strchr(line, ':');
+
+	if (colon) {
+		*colon = '\0';
+		g_hash_table_replace(exchange->answer_headers,
+				     g_ascii_strdown(line, -1),
+				     g_strdup(g_strstrip(colon + 1)));
+	}
+	g_free(line);
+	return size * count;
+}
+
+/*
+ * Prepares a request. Only GET reuses connections: libcurl sends a request
+ * again by itself when a reused connection dies before the first byte.
+ */
+void http_init(http_exchange_t *exchange, const char *method, const char *url,
+	       const char *body, int64_t timeout_ms, const char *const *headers)
+{
+	CURL *easy = curl_easy_init();
+
+	memset(exchange, 0, sizeof(*exchange));
+	exchange->easy = easy;
+	exchange->body = g_string_new(NULL);
+	exchange->answer_headers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	exchange->headers = curl_slist_append(NULL, "Expect:");
+	for (; headers && *headers; headers++)
+		exchange->headers =
+			curl_slist_append(exchange->headers, *headers);
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, exchange->headers);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, exchange);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, exchange);
+	if (strcmp(method, "GET") == 0)
+		return;
+	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+	curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, body ? body : "");
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
+}
+
+/* Frees all that an exchange holds. */
+void http_finish(http_exchange_t *exchange)
+{
+	curl_easy_cleanup(exchange->easy);
+	curl_slist_free_all(exchange->headers);
+	g_hash_table_unref(exchange->answer_headers);
+	g_string_free(exchange->body, TRUE);
+}
+
+/* Keeps the status of a whole answer only. */
+void http_ended(http_exchange_t *exchange, CURLcode result)
+{
+	exchange->result = result;
+	if (result == CURLE_OK)
+		curl_easy_getinfo(exchange->easy, CURLINFO_RESPONSE_CODE,
+				  &exchange->status);
+}
+
+/* Runs a whole exchange; its result says how it ended. */
+void http_run(http_exchange_t *exchange)
+{
+	http_ended(exchange, curl_easy_perform(exchange->easy));
+}
+
+/* Looks up a header of the answer. */
+const char *http_header(const http_exchange_t *exchange, const char *name)
+{
+	const char *value = g_hash_table_lookup(exchange->answer_headers, name);
+
+	return value ? value : "";
+}
--- /dev/null
+++ b/test/support/server.h
@@ -0,0 +1,61 @@
+/*
+ * An HTTP server on the event loop of a stand-in. Requests may be answered
+ * later; a client that hangs up meanwhile is noticed.
+ */
+#ifndef DWS_TEST_SERVER_H
+#define DWS_TEST_SERVER_H
+
+#include <ev.h>
+#include <glib.h>
+#include <microhttpd.h>
+#include <stdbool.h>
+
+typedef struct server server_t;
+
+typedef struct server_request {
+	server_t *server;
+	struct MHD_Connection *connection;
+	char *method;
+	char *target; /* path and query, as sent */
+	char *path;
+	GString *body;
+	void *data; /* of the stand-in */
+	struct MHD_Response *response;
+	unsigned int status;
+	bool offered; /* handed to the stand-in */
+	bool dropped; /* to be closed without an answer */
+	bool suspended;
+	ev_io hang_up;
+} server_request_t;
+
+typedef struct server_ops {
+	/* Takes a whole request; server_answer() or server_drop() ends it. */
+	void (*request)(void *context, server_request_t *request);
+	/* The client of an unanswered request hung up; it goes after this. */
+	void (*gone)(void *context, server_request_t *request);
+} server_ops_t;
+
+struct server {
+	const server_ops_t *ops;
+	void *context;
+	struct ev_loop *loop;
+	struct MHD_Daemon *daemon;
+	uint16_t port;
+	ev_io io;
+	ev_timer timer;
+};
+
+/* Listens on loopback; port 0 picks one. Ends the program on failure. */
+void server_start(server_t *server, struct ev_loop *loop, uint16_t port,
+		  const server_ops_t *ops, void *context);
+/* Answers with a body and at most one header (name NULL for none). */
+void server_answer(server_request_t *request, unsigned int status,
+		   const char *body, const char *name, const char *value);
+void server_drop(server_request_t *request);
+const char *server_header(server_request_t *request, const char *name);
+/* A number of the query; the fallback if it is absent. */
+int64_t server_number(server_request_t *request, const char *name,
+		      int64_t fallback);
+const char *server_query(server_request_t *request, const char *name);
+
+#endif
