Add counters and histograms

Every part of a process counts into one table, so the names and the text form are needed before the parts are.

The histograms' buckets are powers of two from 64 us; the text shows cumulative counts up to the first bound that covers all entries.

--- /dev/null
+++ b/src/process/counters.c
@@ -0,0 +1,144 @@
+/*
+ * Counters and fixed-bucket histograms, and their text form.
+ */
+#include <string.h>
+#include "process/counters.h"
+
+/* Upper bound of the first bucket; each next one is twice as wide. */
+#define FIRST_BUCKET_US 64
+
+static const char *const counter_names[DWS_COUNT_COUNT] = {
+	[DWS_COUNT_CALLS] = "calls",
+	[DWS_COUNT_NESTED_CALLS] = "nested_calls",
+	[DWS_COUNT_COMPLETE] = "complete",
+	[DWS_COUNT_NOT_RUN] = "not_run",
+	[DWS_COUNT_UNKNOWN] = "unknown",
+	[DWS_COUNT_REFUSED_OVERLOAD] = "refused_overload",
+	[DWS_COUNT_REFUSED_DEADLINE] = "refused_deadline",
+	[DWS_COUNT_REFUSED_BUDGET] = "refused_budget",
+	[DWS_COUNT_HELD] = "held",
+	[DWS_COUNT_ATTEMPTS] = "attempts",
+	[DWS_COUNT_RETRIES] = "retries",
+	[DWS_COUNT_DISPATCHES] = "dispatches",
+	[DWS_COUNT_JOINED] = "joined",
+	[DWS_COUNT_TICKETS] = "tickets",
+	[DWS_COUNT_RECALLS] = "recalls",
+	[DWS_COUNT_LATE_ANSWERS] = "late_answers",
+	[DWS_COUNT_SLOWED] = "slowed",
+	[DWS_COUNT_FRAMES_IN] = "frames_in",
+	[DWS_COUNT_FRAMES_OUT] = "frames_out",
+	[DWS_COUNT_FRAME_BYTES_IN] = "frame_bytes_in",
+	[DWS_COUNT_FRAME_BYTES_OUT] = "frame_bytes_out",
+	[DWS_COUNT_DATAGRAMS_IN] = "datagrams_in",
+	[DWS_COUNT_DATAGRAMS_OUT] = "datagrams_out",
+	[DWS_COUNT_DATAGRAM_BYTES_IN] = "datagram_bytes_in",
+	[DWS_COUNT_DATAGRAM_BYTES_OUT] = "datagram_bytes_out",
+	[DWS_COUNT_BAD_MESSAGES] = "bad_messages",
+	[DWS_COUNT_PLATFORM_READS] = "platform_reads",
+	[DWS_COUNT_PLATFORM_FAILURES] = "platform_failures",
+	[DWS_COUNT_CONFIG_ACCEPTED] = "config_accepted",
+	[DWS_COUNT_CONFIG_REJECTED] = "config_rejected",
+	[DWS_COUNT_CONFIG_OLDER] = "config_older",
+	[DWS_COUNT_CONFIG_CONFLICTS] = "config_conflicts",
+	[DWS_COUNT_CONFIG_INVALID] = "config_invalid",
+	[DWS_COUNT_LOOP_GAPS] = "loop_gaps",
+	[DWS_COUNT_CONNECTIONS] = "connections",
+};
+
+static const char *const histogram_names[DWS_HIST_COUNT] = {
+	[DWS_HIST_CALL] = "call",
+	[DWS_HIST_QUEUE] = "queue",
+	[DWS_HIST_HOLD] = "hold",
+	[DWS_HIST_UPSTREAM] = "upstream",
+};
+
+/* The upper bound of a bucket but the last, inclusive. */
+static uint64_t bucket_bound_us(uint32_t bucket)
+{
+	return (uint64_t)FIRST_BUCKET_US << bucket;
+}
+
+/* The first bucket whose bound is not below the duration. */
+static uint32_t bucket_of(int64_t duration_us)
+{
+	uint32_t bucket = 0;
+
+	while (bucket < DWS_HIST_BUCKETS - 1 &&
+	       (uint64_t)duration_us > bucket_bound_us(bucket))
+		bucket++;
+	return bucket;
+}
+
+/* Sets all counters and histograms to zero. */
+void dws_counters_init(dws_counters_t *counters)
+{
+	memset(counters, 0, sizeof(*counters));
+}
+
+/* Adds an amount to one counter. */
+void dws_counters_add(dws_counters_t *counters, dws_counter_t counter,
+		      uint64_t amount)
+{
+	counters->counts[counter] += amount;
+}
+
+/* Enters a duration into a histogram; negative ones count as 0 us. */
+void dws_counters_time(dws_counters_t *counters, dws_histogram_t histogram,
+		       int64_t duration_us)
+{
+	if (duration_us < 0)
+		duration_us = 0;
+	counters->buckets[histogram][bucket_of(duration_us)]++;
+	counters->sums_us[histogram] += (uint64_t)duration_us;
+}
+
+/*
+ * Appends the lines of a histogram: cumulative bucket counts up to the first
+ * bound that covers every entry, the total and the sum in us.
+ */
+static void append_histogram(GString *text, const dws_counters_t *counters,
+			     dws_histogram_t histogram)
+{
+	const uint64_t *buckets = counters->buckets[histogram];
+	const char *name = histogram_names[histogram];
+	uint64_t total = 0;
+	uint64_t below = 0;
+
+	for (uint32_t i = 0; i < DWS_HIST_BUCKETS; i++)
+		total += buckets[i];
+	for (uint32_t i = 0; i < DWS_HIST_BUCKETS - 1 && below < total; i++) {
+		below += buckets[i];
+		g_string_append_printf(text,
+				       "%s_le_%" G_GUINT64_FORMAT
+				       " %" G_GUINT64_FORMAT "\n",
+				       name, bucket_bound_us(i), below);
+	}
+	g_string_append_printf(text, "%s_count %" G_GUINT64_FORMAT "\n", name,
+			       total);
+	g_string_append_printf(text, "%s_sum_us %" G_GUINT64_FORMAT "\n", name,
+			       counters->sums_us[histogram]);
+}
+
+/*
+ * Writes all counters and histograms as lines "name value". The caller frees
+ * the text with g_free().
+ */
+char *dws_counters_text(const dws_counters_t *counters)
+{
+	GString *text = g_string_new(NULL);
+
+	for (int i = 0; i < DWS_COUNT_COUNT; i++)
+		g_string_append_printf(text, "%s %" G_GUINT64_FORMAT "\n",
+				       counter_names[i], counters->counts[i]);
+	for (int i = 0; i < DWS_HIST_COUNT; i++)
+		append_histogram(text, counters, i);
+	return g_string_free(text, FALSE);
+}
+
+/* The name of a counter; "unknown-value" for numbers outside the list. */
+const char *dws_counter_name(dws_counter_t counter)
+{
+	if ((unsigned int)counter >= DWS_COUNT_COUNT)
+		return "unknown-value";
+	return counter_names[counter];
+}
--- /dev/null
+++ b/test/unit/test_counters.c
@@ -0,0 +1,57 @@
+/*
+ * Counters add up, histograms put each duration into the right bucket.
+ */
+#include <CUnit/Basic.h>
+#include <string.h>
+#include "process/counters.h"
+
+static void test_counters_are_named_apart(void)
+{
+	for (int a = 0; a < DWS_COUNT_COUNT; a++) {
+		CU_ASSERT_PTR_NOT_NULL_FATAL(dws_counter_name(a));
+		for (int b = 0; b < a; b++)
+			CU_ASSERT_STRING_NOT_EQUAL(dws_counter_name(a),
+						   dws_counter_name(b));
+	}
+	CU_ASSERT_STRING_EQUAL(dws_counter_name(DWS_COUNT_COUNT),
+			       "unknown-value");
+}
+
+static void test_text(void)
+{
+	dws_counters_t counters;
+
+	dws_counters_init(&counters);
+	dws_counters_add(&counters, DWS_COUNT_CALLS, 2);
+	dws_counters_add(&counters, DWS_COUNT_CALLS, 3);
+	dws_counters_time(&counters, DWS_HIST_CALL, -5);
+	dws_counters_time(&counters, DWS_HIST_CALL, 64);
+	dws_counters_time(&counters, DWS_HIST_CALL, 65);
+	dws_counters_time(&counters, DWS_HIST_QUEUE, INT64_MAX);
+	char *text = dws_counters_text(&counters);
+
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "calls 5\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "\ncall_le_64 2\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "\ncall_le_128 3\n"));
+	CU_ASSERT_PTR_NULL(strstr(text, "\ncall_le_256 "));
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "\ncall_count 3\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "\ncall_sum_us 129\n"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "\nqueue_count 1\n"));
+	CU_ASSERT_EQUAL(counters.buckets[DWS_HIST_QUEUE][DWS_HIST_BUCKETS - 1],
+			1);
+	g_free(text);
+}
+
+int main(void)
+{
+	CU_initialize_registry();
+	CU_pSuite suite = CU_add_suite("counters", NULL, NULL);
+
+	CU_add_test(suite, "names", test_counters_are_named_apart);
+	CU_add_test(suite, "text", test_text);
+	CU_basic_run_tests();
+	unsigned int failures = CU_get_number_of_failures();
+
+	CU_cleanup_registry();
+	return failures ? 1 : 0;
+}
