--- /dev/null
+++ b/src/connection/address_io.c
@@ -0,0 +1,115 @@
+/*
+ * IP numbers and ports as the socket functions take them.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <unistd.h>
+#include "connection/address_io.h"
+
+/* Connections that wait to be accepted. */
+#define LISTEN_BACKLOG 1024
+
+/*
+ * Fills in a socket address from an IPv4 or IPv6 number. False if the text
+ * is neither.
+ */
+bool dws_address_encode(const dws_address_t *address,
+			struct sockaddr_storage *storage, socklen_t *length)
+{
+	struct sockaddr_in *in4 = (struct sockaddr_in *)storage;
+	struct sockaddr_in6 *in6 = (struct sockaddr_in6 *)storage;
+
+	memset(storage, 0, sizeof(*storage));
+	if (inet_pton(AF_INET, address->ip, &in4->sin_addr) == 1) {
+		in4->sin_family = AF_INET;
+		in4->sin_port = htons(address->port);
+		*length = sizeof(*in4);
+		return true;
+	}
+	if (inet_pton(AF_INET6, address->ip, &in6->sin6_addr) == 1) {
+		in6->sin6_family = AF_INET6;
+		in6->sin6_port = htons(address->port);
+		*length = sizeof(*in6);
+		return true;
+	}
+	return false;
+}
+
+/* Reads the local address of a socket. */
+bool dws_address_of_socket(int fd, dws_address_t *address)
+{
+	struct sockaddr_storage storage;
+	const struct sockaddr_in *in4 = (struct sockaddr_in *)&storage;
+	const struct sockaddr_in6 *in6 = (struct sockaddr_in6 *)&storage;
+	socklen_t length = sizeof(storage);
+
+	if (getsockname(fd, (struct sockaddr *)&storage, &length) != 0)
+		return false;
+	if (storage.ss_family == AF_INET) {
+		address->port = ntohs(in4->sin_port);
+		return inet_ntop(AF_INET, &in4->sin_addr, address->ip,
+				 sizeof(address->ip)) != NULL;
+	}
+	address->port = ntohs(in6->sin6_port);
+	return inet_ntop(AF_INET6, &in6->sin6_addr, address->ip,
+			 sizeof(address->ip)) != NULL;
+}
+
+/* Sets the error for an address that can't be used; returns -1. */
+static int bind_failed(const dws_address_t *address, int fd, GError **error)
+{
+	int fault = errno;
+
+	if (fd >= 0)
+		close(fd);
+	g_set_error(error, DWS_ERROR, DWS_ERROR_SYSTEM,
+		    "listen on %s port %u: %s; give an IP number of this VM "
+		    "and a port that is free",
+		    address->ip, address->port, g_strerror(fault));
+	return -1;
+}
+
+/*
+ * Opens a non-blocking socket of the given type (SOCK_STREAM listens at
+ * once, SOCK_DGRAM receives). The caller closes it. Returns -1 with an error
+ * if the system refuses the address.
+ */
+int dws_address_bind(dws_address_t *address, int type, GError **error)
+{
+	struct sockaddr_storage storage;
+	socklen_t length = 0;
+	int on = 1;
+
+	if (!dws_address_encode(address, &storage, &length)) {
+		errno = EADDRNOTAVAIL;
+		return bind_failed(address, -1, error);
+	}
+	int fd = socket(storage.ss_family, type | SOCK_NONBLOCK | SOCK_CLOEXEC,
+			0);
+
+	if (fd < 0)
+		return bind_failed(address, fd, error);
+	if (type == SOCK_STREAM)
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&storage, length) != 0)
+		return bind_failed(address, fd, error);
+	if (type == SOCK_STREAM && listen(fd, LISTEN_BACKLOG) != 0)
+		return bind_failed(address, fd, error);
+	if (!dws_address_of_socket(fd, address))
+		return bind_failed(address, fd, error);
+	return fd;
+}
+
+/* Tells whether two addresses are the same. */
+bool dws_address_equal(const dws_address_t *a, const dws_address_t *b)
+{
+	return a->port == b->port && strcmp(a->ip, b->ip) == 0;
+}
+
+/* Hashes an address for GHashTable. */
+guint dws_address_hash(const dws_address_t *address)
+{
+	return g_str_hash(address->ip) * 31 + address->port;
+}
--- /dev/null
+++ b/src/connection/datagram_io.h
@@ -0,0 +1,36 @@
+/*
+ * Datagrams between processes, over UDP.
+ */
+#ifndef DWS_CONNECTION_DATAGRAM_IO_H
+#define DWS_CONNECTION_DATAGRAM_IO_H
+
+#include <ev.h>
+#include "connection/address_io.h"
+#include "process/counters.h"
+
+/* What the owner is told; never from within a function. */
+typedef struct dws_datagram_ops {
+	/* A datagram; false if it is malformed. */
+	bool (*datagram)(void *context, const uint8_t *data, size_t size_bytes);
+} dws_datagram_ops_t;
+
+typedef struct dws_datagrams {
+	const dws_datagram_ops_t *ops;
+	void *context;
+	struct ev_loop *ev;
+	dws_counters_t *counters;
+	dws_address_t listen; /* with the real port */
+	int fd;
+	ev_io readable;
+} dws_datagrams_t;
+
+bool dws_datagrams_init(dws_datagrams_t *datagrams,
+			const dws_datagram_ops_t *ops, void *context,
+			struct ev_loop *ev, dws_counters_t *counters,
+			const dws_address_t *listen, GError **error);
+void dws_datagrams_finish(dws_datagrams_t *datagrams);
+/* Sends a datagram; it may be lost. */
+void dws_datagrams_send(dws_datagrams_t *datagrams, const dws_address_t *to,
+			const uint8_t *data, size_t size_bytes);
+
+#endif
--- /dev/null
+++ b/src/connection/http_client_io.c
@@ -0,0 +1,568 @@
+/*
+ * HTTP towards the local upstream and the platform: libcurl's multi interface
+ * on the event loop.
+ *
+ * Non-idempotent work takes a connection of its own: libcurl sends a request
+ * again by itself when a connection that it reuses dies before the first byte
+ * of an answer, and it can't know whether the upstream had read the first.
+ */
+#include <string.h>
+#include "connection/http_client_io.h"
+#include "version/config.h"
+
+#define CONNECT_TIMEOUT_MS 1000L
+/* Beyond the time that the platform was asked to wait. */
+#define PLATFORM_EXTRA_MS 2000
+#define PLATFORM_SLACK_BYTES (64 * 1024)
+#define IDLE_HANDLES_MAX 128U
+#define IDLE_CONNECTIONS_MAX 128L
+#define URL_SIZE 128
+#define STATUS_FIRST_FINAL 200
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
+#define STATUS_UNAVAILABLE 503
+#define STATUS_OK 200
+
+static const char *const platform_paths[DWS_PLATFORM_ITEM_COUNT] = {
+	[DWS_PLATFORM_CONFIG] = "/v1/config",
+	[DWS_PLATFORM_VMS] = "/v1/vms",
+};
+
+/* A request that is under way. */
+typedef struct transfer {
+	dws_http_client_t *client;
+	CURL *easy;
+	struct curl_slist *headers;
+	GByteArray *body;
+	size_t body_max_bytes;
+	bool is_platform;
+	dws_platform_item_t item;
+	uint64_t attempt_id;
+	bool is_head;
+	bool is_chunked;
+	bool says_not_run;
+} transfer_t;
+
+/* A socket of libcurl that the loop watches. */
+typedef struct watch {
+	dws_http_client_t *client;
+	ev_io io;
+} watch_t;
+
+static void collect_ended(dws_http_client_t *client);
+
+/* Lets libcurl act on a socket or a timeout, then reports what has ended. */
+static void act(dws_http_client_t *client, curl_socket_t fd, int mask)
+{
+	int running = 0;
+
+	curl_multi_socket_action(client->multi, fd, mask, &running);
+	collect_ended(client);
+}
+
+static void on_socket(struct ev_loop *ev, ev_io *watcher, int events)
+{
+	watch_t *watch = watcher->data;
+	int mask = 0;
+
+	if (events & EV_READ)
+		mask |= CURL_CSELECT_IN;
+	if (events & EV_WRITE)
+		mask |= CURL_CSELECT_OUT;
+	act(watch->client, watcher->fd, mask);
+}
+
+static void on_timer(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+	act(watcher->data, CURL_SOCKET_TIMEOUT, 0);
+}
+
+/* libcurl wants a socket to be watched, or no longer. */
+static int on_watch(CURL *easy, curl_socket_t fd, int what, void *data,
+		    void *socket_data)
+{
+	dws_http_client_t *client = data;
+	watch_t *watch = socket_data;
+	int events = 0;
+
+	if (what == CURL_POLL_REMOVE) {
+		if (watch)
+			ev_io_stop(client->ev, &watch->io);
+		curl_multi_assign(client->multi, fd, NULL);
+		g_free(watch);
+		return 0;
+	}
+	if (what & CURL_POLL_IN)
+		events |= EV_READ;
+	if (what & CURL_POLL_OUT)
+		events |= EV_WRITE;
+	if (!watch) {
+		watch = g_new0(watch_t, 1);
+		watch->client = client;
+		ev_io_init(&watch->io, on_socket, fd, events);
+		watch->io.data = watch;
+		curl_multi_assign(client->multi, fd, watch);
+	}
+	ev_io_stop(client->ev, &watch->io);
+	ev_io_set(&watch->io, fd, events);
+	ev_io_start(client->ev, &watch->io);
+	return 0;
+}
+
+/* libcurl wants to be called after some time; -1: no longer. */
+static int on_timeout_set(CURLM *multi, long timeout_ms, void *data)
+{
+	dws_http_client_t *client = data;
+
+	ev_timer_stop(client->ev, &client->timer);
+	if (timeout_ms >= 0) {
+		ev_now_update(client->ev);
+		ev_timer_set(&client->timer, (double)timeout_ms / 1000.0, 0);
+		ev_timer_start(client->ev, &client->timer);
+	}
+	return 0;
+}
+
+/* Gathers the body; too large a one ends the transfer. */
+static size_t on_body(char *data, size_t size, size_t count, void *user)
+{
+	transfer_t *transfer = user;
+	size_t size_bytes = size * count;
+
+	if (transfer->body->len + size_bytes > transfer->body_max_bytes)
+		return 0;
+	g_byte_array_append(transfer->body, (const guint8 *)data,
+			    (guint)size_bytes);
+	return size_bytes;
+}
+
+/* True if a header line has this name, and this value if one is given. */
+static bool is_header(const char *line, size_t size_bytes, const char *name,
+		      const char *value)
+{
+	size_t length = strlen(name);
+
+	if (size_bytes <= length || line[length] != ':' ||
+	    g_ascii_strncasecmp(line, name, length) != 0)
+		return false;
+	char *found = g_strndup(line + length + 1, size_bytes - length - 1);
+	bool same = g_ascii_strcasecmp(g_strstrip(found), value) == 0;
+
+	g_free(found);
+	return same;
+}
+
+/* Notes the headers that matter here; a status line starts them anew. */
+static size_t on_header(char *data, size_t size, size_t count, void *user)
+{
+	transfer_t *transfer = user;
+	size_t size_bytes = size * count;
+
+	if (size_bytes >= 5 && memcmp(data, "HTTP/", 5) == 0) {
+		transfer->is_chunked = false;
+		transfer->says_not_run = false;
+	}
+	if (is_header(data, size_bytes, "Transfer-Encoding", "chunked"))
+		transfer->is_chunked = true;
+	if (is_header(data, size_bytes, "Dogwoodshift-Outcome", "not-run"))
+		transfer->says_not_run = true;
+	return size_bytes;
+}
+
+static CURL *take_handle(dws_http_client_t *client)
+{
+	if (client->idle->len)
+		return g_ptr_array_steal_index_fast(client->idle,
+						    client->idle->len - 1);
+	return curl_easy_init();
+}
+
+static void give_back_handle(dws_http_client_t *client, CURL *easy)
+{
+	if (client->idle->len >= IDLE_HANDLES_MAX) {
+		curl_easy_cleanup(easy);
+		return;
+	}
+	curl_easy_reset(easy);
+	g_ptr_array_add(client->idle, easy);
+}
+
+static transfer_t *new_transfer(dws_http_client_t *client)
+{
+	transfer_t *transfer = g_new0(transfer_t, 1);
+
+	transfer->client = client;
+	transfer->easy = take_handle(client);
+	transfer->body = g_byte_array_new();
+	g_ptr_array_add(client->transfers, transfer);
+	return transfer;
+}
+
+static void free_transfer(transfer_t *transfer)
+{
+	dws_http_client_t *client = transfer->client;
+
+	g_ptr_array_remove_fast(client->transfers, transfer);
+	if (!transfer->is_platform)
+		g_hash_table_remove(client->dispatches, &transfer->attempt_id);
+	curl_multi_remove_handle(client->multi, transfer->easy);
+	give_back_handle(client, transfer->easy);
+	curl_slist_free_all(transfer->headers);
+	g_byte_array_free(transfer->body, TRUE);
+	g_free(transfer);
+}
+
+static void add_header(transfer_t *transfer, const char *name,
+		       const char *value)
+{
+	char *line = g_strconcat(name, ": ", value, NULL);
+
+	transfer->headers = curl_slist_append(transfer->headers, line);
+	g_free(line);
+}
+
+/* An "http://IP:PORT/" for an address. */
+static void format_url(char *url, size_t size, const dws_address_t *address)
+{
+	const char *form =
+		strchr(address->ip, ':') ? "http://[%s]:%u/" : "http://%s:%u/";
+
+	g_snprintf(url, size, form, address->ip, address->port);
+}
+
+/* Sets what all transfers have in common. */
+static void set_common(transfer_t *transfer, const dws_address_t *address,
+		       const char *target, int64_t timeout_ms)
+{
+	CURL *easy = transfer->easy;
+	char url[URL_SIZE];
+
+	format_url(url, sizeof(url), address);
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, target);
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+			 (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
+	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
+}
+
+/* Sets method and body. */
+static void set_request(transfer_t *transfer, const dws_dispatch_t *dispatch)
+{
+	CURL *easy = transfer->easy;
+	bool has_body = dispatch->body_size_bytes > 0 ||
+			strcmp(dispatch->method, "POST") == 0 ||
+			strcmp(dispatch->method, "PUT") == 0 ||
+			strcmp(dispatch->method, "PATCH") == 0;
+
+	transfer->is_head = strcmp(dispatch->method, "HEAD") == 0;
+	if (has_body) {
+		curl_easy_setopt(easy, CURLOPT_POST, 1L);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+				 (curl_off_t)dispatch->body_size_bytes);
+		curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS,
+				 dispatch->body_size_bytes
+					 ? (const char *)dispatch->body
+					 : "");
+	}
+	if (transfer->is_head)
+		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+	else
+		curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, dispatch->method);
+}
+
+/* Gathers the headers of a dispatch. */
+static void set_headers(transfer_t *transfer, const dws_dispatch_t *dispatch,
+			int64_t remaining_ms)
+{
+	char text[32];
+
+	g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x",
+		   dispatch->attempt_id);
+	add_header(transfer, "Dogwoodshift-Call", text);
+	g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT, remaining_ms);
+	add_header(transfer, "Dogwoodshift-Timeout-Ms", text);
+	if (dispatch->customer && dispatch->customer[0])
+		add_header(transfer, "Dogwoodshift-Customer",
+			   dispatch->customer);
+	if (dispatch->identity && dispatch->identity[0])
+		add_header(transfer, "Idempotency-Key", dispatch->identity);
+	if (dispatch->traceparent[0])
+		add_header(transfer, "traceparent", dispatch->traceparent);
+	if (dispatch->content_type && dispatch->content_type[0])
+		add_header(transfer, "Content-Type", dispatch->content_type);
+	else
+		transfer->headers =
+			curl_slist_append(transfer->headers, "Content-Type:");
+	transfer->headers = curl_slist_append(transfer->headers, "Expect:");
+}
+
+/* Reports a dispatch that can't begin, once the present call has returned. */
+static void report_unsent(dws_http_client_t *client, uint64_t attempt_id)
+{
+	uint64_t *id = g_new(uint64_t, 1);
+
+	*id = attempt_id;
+	g_ptr_array_add(client->unsent, id);
+	ev_timer_start(client->ev, &client->report);
+}
+
+static void on_report(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+	static const dws_dispatch_outcome_t not_sent = {
+		.result = DWS_DISPATCH_NOT_SENT,
+	};
+	dws_http_client_t *client = watcher->data;
+
+	for (guint left = client->unsent->len; left > 0 && client->unsent->len;
+	     left--) {
+		uint64_t *id = g_ptr_array_steal_index(client->unsent, 0);
+
+		client->ops->dispatched(client->context, *id, &not_sent);
+		g_free(id);
+	}
+}
+
+/* Sends work to the upstream, until its deadline at the latest. */
+void dws_http_client_dispatch(dws_http_client_t *client, int64_t now_us,
+			      const dws_dispatch_t *dispatch)
+{
+	int64_t remaining_ms = (dispatch->deadline_us - now_us) / DWS_US_PER_MS;
+
+	if (client->upstream.port == 0 || remaining_ms <= 0) {
+		report_unsent(client, dispatch->attempt_id);
+		return;
+	}
+	transfer_t *transfer = new_transfer(client);
+
+	transfer->attempt_id = dispatch->attempt_id;
+	transfer->body_max_bytes = client->answer_max_bytes;
+	g_hash_table_insert(client->dispatches, &transfer->attempt_id,
+			    transfer);
+	set_headers(transfer, dispatch, remaining_ms);
+	set_common(transfer, &client->upstream, dispatch->path, remaining_ms);
+	set_request(transfer, dispatch);
+	if (!dispatch->idempotent) {
+		curl_easy_setopt(transfer->easy, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(transfer->easy, CURLOPT_FORBID_REUSE, 1L);
+	}
+	curl_multi_add_handle(client->multi, transfer->easy);
+}
+
+/* Breaks off a dispatch; its connection closes, which tells the upstream. */
+void dws_http_client_cancel(dws_http_client_t *client, uint64_t attempt_id)
+{
+	transfer_t *transfer =
+		g_hash_table_lookup(client->dispatches, &attempt_id);
+
+	if (transfer)
+		free_transfer(transfer);
+	for (guint i = 0; i < client->unsent->len; i++) {
+		uint64_t *id = g_ptr_array_index(client->unsent, i);
+
+		if (*id != attempt_id)
+			continue;
+		g_free(g_ptr_array_steal_index(client->unsent, i));
+		return;
+	}
+}
+
+/* Reads from the platform what it has after a number. */
+void dws_http_client_read(dws_http_client_t *client, dws_platform_item_t item,
+			  uint64_t after, int64_t wait_ms)
+{
+	transfer_t *transfer = new_transfer(client);
+	char target[URL_SIZE];
+
+	transfer->is_platform = true;
+	transfer->item = item;
+	transfer->body_max_bytes = DWS_CONFIG_MAX_BYTES + PLATFORM_SLACK_BYTES;
+	g_snprintf(target, sizeof(target),
+		   "%s?after=%" G_GUINT64_FORMAT "&wait_ms=%" G_GINT64_FORMAT,
+		   platform_paths[item], after, wait_ms);
+	set_common(transfer, &client->platform, target,
+		   wait_ms + PLATFORM_EXTRA_MS);
+	curl_multi_add_handle(client->multi, transfer->easy);
+}
+
+/*
+ * True if the end of the answer's body was marked by a length or by chunks,
+ * so that a whole one can be told from a truncated one.
+ */
+static bool is_delimited(const transfer_t *transfer, long status)
+{
+	curl_off_t length = -1;
+
+	if (transfer->is_head || transfer->is_chunked ||
+	    status == STATUS_NO_CONTENT || status == STATUS_NOT_MODIFIED)
+		return true;
+	curl_easy_getinfo(transfer->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T,
+			  &length);
+	return length >= 0;
+}
+
+/*
+ * True if a failed transfer surely sent nothing: there was no connection, or
+ * the time ran out before the first byte of the request.
+ */
+static bool is_unsent(const transfer_t *transfer, CURLcode code)
+{
+	long request_bytes = -1;
+
+	if (code == CURLE_COULDNT_CONNECT)
+		return true;
+	curl_easy_getinfo(transfer->easy, CURLINFO_REQUEST_SIZE,
+			  &request_bytes);
+	return code == CURLE_OPERATION_TIMEDOUT && request_bytes == 0;
+}
+
+static void report_dispatch(const transfer_t *transfer, CURLcode code)
+{
+	dws_http_client_t *client = transfer->client;
+	dws_dispatch_outcome_t outcome = {.result = DWS_DISPATCH_LOST};
+	long status = 0;
+
+	curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (code != CURLE_OK) {
+		if (is_unsent(transfer, code))
+			outcome.result = DWS_DISPATCH_NOT_SENT;
+	} else if (status >= STATUS_FIRST_FINAL &&
+		   is_delimited(transfer, status)) {
+		char *type = NULL;
+
+		curl_easy_getinfo(transfer->easy, CURLINFO_CONTENT_TYPE, &type);
+		outcome.result = DWS_DISPATCH_ANSWERED;
+		outcome.status = (uint16_t)status;
+		outcome.content_type = type;
+		outcome.body = transfer->body->data;
+		outcome.body_size_bytes = transfer->body->len;
+		outcome.refused =
+			status == STATUS_UNAVAILABLE && transfer->says_not_run;
+	}
+	client->ops->dispatched(client->context, transfer->attempt_id,
+				&outcome);
+}
+
+static void report_platform(const transfer_t *transfer, CURLcode code)
+{
+	dws_http_client_t *client = transfer->client;
+	long status = 0;
+
+	curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+	bool has_news = code == CURLE_OK && status == STATUS_OK &&
+			is_delimited(transfer, status);
+	bool no_news = code == CURLE_OK && status == STATUS_NO_CONTENT;
+
+	if (has_news)
+		g_byte_array_append(transfer->body, (const guint8 *)"", 1);
+	client->ops->platform_read(
+		client->context, transfer->item, has_news || no_news,
+		has_news ? (const char *)transfer->body->data : NULL,
+		has_news ? transfer->body->len - 1 : 0);
+}
+
+/*
+ * Reports one transfer that has ended. It leaves the tables first, so that
+ * the owner may start the next one, or cancel this one in vain.
+ */
+static void end_transfer(transfer_t *transfer, CURLcode code)
+{
+	if (transfer->is_platform) {
+		report_platform(transfer, code);
+	} else {
+		g_hash_table_remove(transfer->client->dispatches,
+				    &transfer->attempt_id);
+		report_dispatch(transfer, code);
+	}
+	free_transfer(transfer);
+}
+
+static void collect_ended(dws_http_client_t *client)
+{
+	CURLMsg *message;
+	int left = 0;
+
+	while ((message = curl_multi_info_read(client->multi, &left))) {
+		CURLcode code = message->data.result;
+		char *transfer = NULL;
+
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE,
+				  &transfer);
+		end_transfer((transfer_t *)(void *)transfer, code);
+	}
+}
+
+static void init_watchers(dws_http_client_t *client)
+{
+	ev_timer_init(&client->timer, on_timer, 0, 0);
+	ev_timer_init(&client->report, on_report, 0, 0);
+	client->timer.data = client;
+	client->report.data = client;
+}
+
+/* Starts on memory of the caller; takes addresses and sizes from settings. */
+bool dws_http_client_init(dws_http_client_t *client,
+			  const dws_http_client_ops_t *ops, void *context,
+			  struct ev_loop *ev, const dws_settings_t *settings,
+			  GError **error)
+{
+	memset(client, 0, sizeof(*client));
+	client->ops = ops;
+	client->context = context;
+	client->ev = ev;
+	client->upstream = settings->upstream;
+	client->platform = settings->platform;
+	client->answer_max_bytes = settings->max_body_bytes;
+	if (curl_global_init(CURL_GLOBAL_DEFAULT) != CURLE_OK ||
+	    !(client->multi = curl_multi_init())) {
+		g_set_error(error, DWS_ERROR, DWS_ERROR_SYSTEM,
+			    "HTTP client: libcurl could not be started; check "
+			    "the installed library and the free memory");
+		return false;
+	}
+	client->dispatches = g_hash_table_new(g_int64_hash, g_int64_equal);
+	client->unsent = g_ptr_array_new();
+	client->idle = g_ptr_array_new();
+	client->transfers = g_ptr_array_new();
+	init_watchers(client);
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, on_watch);
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION,
+			  on_timeout_set);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
+	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
+			  IDLE_CONNECTIONS_MAX);
+	return true;
+}
+
+/* Breaks off all transfers and closes all connections. */
+void dws_http_client_finish(dws_http_client_t *client)
+{
+	while (client->transfers->len)
+		free_transfer(g_ptr_array_index(client->transfers, 0));
+	for (guint i = 0; i < client->idle->len; i++)
+		curl_easy_cleanup(g_ptr_array_index(client->idle, i));
+	curl_multi_cleanup(client->multi);
+	ev_timer_stop(client->ev, &client->timer);
+	ev_timer_stop(client->ev, &client->report);
+	g_ptr_array_foreach(client->unsent, (GFunc)(void (*)(void))g_free,
+			    NULL);
+	g_ptr_array_free(client->unsent, TRUE);
+	g_ptr_array_free(client->idle, TRUE);
+	g_ptr_array_free(client->transfers, TRUE);
+	g_hash_table_destroy(client->dispatches);
+	curl_global_cleanup();
+}
--- /dev/null
+++ b/src/connection/stream_io.c
@@ -0,0 +1,525 @@
+/*
+ * Streams of frames between processes.
+ *
+ * Frames that are sent within one loop iteration leave in one write at its
+ * end. A stream that breaks takes all later frames with it until the owner
+ * has been told, so that "lost" covers everything that was not delivered.
+ */
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <unistd.h>
+#include "connection/stream_io.h"
+
+#define CONNECT_TIMEOUT_S 1.0
+#define ACCEPT_PAUSE_S 0.1
+#define REPORT_DELAY_S 0.001
+#define UNACKNOWLEDGED_MAX_MS 5000
+#define KEEPALIVE_IDLE_S 2
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES 3
+#define SCRATCH_BYTES (64 * 1024)
+/* Reads of one stream before the others get their turn. */
+#define READS_PER_EVENT 8
+#define INBOUND_MAX 2048
+#define BUFFERED_FRAMES_MAX 4
+/* A buffer that grew beyond this is given back once it is empty. */
+#define BUFFER_KEPT_BYTES (256 * 1024)
+
+typedef struct outbound {
+	dws_address_t peer; /* the key in the table */
+	dws_streams_t *streams;
+	int fd;
+	bool connected;
+	bool is_broken;
+	bool is_unflushed;
+	ev_io readable;
+	ev_io writable;
+	ev_timer connect_timeout;
+	GByteArray *out;
+	size_t sent_bytes; /* of out */
+} outbound_t;
+
+typedef struct inbound {
+	dws_streams_t *streams;
+	int fd;
+	ev_io readable;
+	GByteArray *in; /* the start of a frame */
+} inbound_t;
+
+static gboolean address_equal(gconstpointer a, gconstpointer b)
+{
+	return dws_address_equal(a, b);
+}
+
+static guint address_hash(gconstpointer address)
+{
+	return dws_address_hash(address);
+}
+
+static void set_option(int fd, int level, int name, int value)
+{
+	setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+/* Sends small frames at once and notices a peer that vanished. */
+static void set_stream_options(int fd)
+{
+	set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_MAX_MS);
+	set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
+}
+
+static void close_outbound(outbound_t *stream)
+{
+	struct ev_loop *ev = stream->streams->ev;
+
+	ev_io_stop(ev, &stream->readable);
+	ev_io_stop(ev, &stream->writable);
+	ev_timer_stop(ev, &stream->connect_timeout);
+	if (stream->fd >= 0)
+		close(stream->fd);
+	stream->fd = -1;
+}
+
+static void free_outbound(gpointer data)
+{
+	outbound_t *stream = data;
+
+	close_outbound(stream);
+	g_byte_array_free(stream->out, TRUE);
+	g_free(stream);
+}
+
+/* Closes a stream; the owner is told once the present call has returned. */
+static void break_outbound(outbound_t *stream)
+{
+	if (stream->is_broken)
+		return;
+	stream->is_broken = true;
+	close_outbound(stream);
+	g_byte_array_set_size(stream->out, 0);
+	g_ptr_array_add(stream->streams->broken, stream);
+	ev_timer_start(stream->streams->ev, &stream->streams->report);
+}
+
+/*
+ * Tells the owner of all streams that broke. What breaks while it acts on
+ * that waits for the next turn of the loop.
+ */
+static void on_report(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+	dws_streams_t *streams = watcher->data;
+
+	for (guint left = streams->broken->len; left > 0; left--) {
+		outbound_t *stream =
+			g_ptr_array_steal_index(streams->broken, 0);
+		dws_address_t peer = stream->peer;
+
+		if (stream->is_unflushed)
+			g_ptr_array_remove_fast(streams->unflushed, stream);
+		g_hash_table_remove(streams->outbound, &peer);
+		streams->ops->lost(streams->context, &peer);
+	}
+}
+
+/* Forgets bytes that have been written, once in a while. */
+static void trim_out(outbound_t *stream)
+{
+	if (stream->sent_bytes < stream->out->len)
+		return;
+	if (stream->sent_bytes > BUFFER_KEPT_BYTES) {
+		g_byte_array_free(stream->out, TRUE);
+		stream->out = g_byte_array_new();
+	} else {
+		g_byte_array_set_size(stream->out, 0);
+	}
+	stream->sent_bytes = 0;
+}
+
+/* Writes as much as the socket takes; waits for room if there is more. */
+static void write_outbound(outbound_t *stream)
+{
+	struct ev_loop *ev = stream->streams->ev;
+
+	while (stream->sent_bytes < stream->out->len) {
+		ssize_t wrote =
+			send(stream->fd, stream->out->data + stream->sent_bytes,
+			     stream->out->len - stream->sent_bytes,
+			     MSG_NOSIGNAL | MSG_DONTWAIT);
+
+		if (wrote < 0 && errno == EINTR)
+			continue;
+		if (wrote < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+			ev_io_start(ev, &stream->writable);
+			return;
+		}
+		if (wrote < 0) {
+			break_outbound(stream);
+			return;
+		}
+		stream->sent_bytes += (size_t)wrote;
+	}
+	trim_out(stream);
+	ev_io_stop(ev, &stream->writable);
+}
+
+/* Ends the connect, or goes on writing. */
+static void on_writable(struct ev_loop *ev, ev_io *watcher, int events)
+{
+	outbound_t *stream = watcher->data;
+	int fault = 0;
+	socklen_t length = sizeof(fault);
+
+	if (!stream->connected) {
+		if (getsockopt(stream->fd, SOL_SOCKET, SO_ERROR, &fault,
+			       &length) != 0 ||
+		    fault != 0) {
+			break_outbound(stream);
+			return;
+		}
+		stream->connected = true;
+		ev_timer_stop(ev, &stream->connect_timeout);
+		ev_io_start(ev, &stream->readable);
+	}
+	write_outbound(stream);
+}
+
+/* Nothing is ever read here but the end: peers answer on their own stream. */
+static void on_outbound_readable(struct ev_loop *ev, ev_io *watcher, int events)
+{
+	outbound_t *stream = watcher->data;
+	uint8_t byte;
+	ssize_t got = recv(stream->fd, &byte, 1, MSG_DONTWAIT);
+
+	if (got < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	break_outbound(stream);
+}
+
+static void on_connect_timeout(struct ev_loop *ev, ev_timer *watcher,
+			       int events)
+{
+	break_outbound(watcher->data);
+}
+
+/* Starts to connect; a failure breaks the stream. */
+static void connect_outbound(outbound_t *stream)
+{
+	struct ev_loop *ev = stream->streams->ev;
+	struct sockaddr_storage storage;
+	socklen_t length = 0;
+
+	if (dws_address_encode(&stream->peer, &storage, &length))
+		stream->fd =
+			socket(storage.ss_family,
+			       SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (stream->fd < 0) {
+		break_outbound(stream);
+		return;
+	}
+	set_stream_options(stream->fd);
+	if (connect(stream->fd, (struct sockaddr *)&storage, length) != 0 &&
+	    errno != EINPROGRESS) {
+		break_outbound(stream);
+		return;
+	}
+	ev_io_set(&stream->writable, stream->fd, EV_WRITE);
+	ev_io_set(&stream->readable, stream->fd, EV_READ);
+	ev_io_start(ev, &stream->writable);
+	ev_timer_start(ev, &stream->connect_timeout);
+}
+
+static outbound_t *open_outbound(dws_streams_t *streams,
+				 const dws_address_t *peer)
+{
+	outbound_t *stream = g_new0(outbound_t, 1);
+
+	stream->peer = *peer;
+	stream->streams = streams;
+	stream->fd = -1;
+	stream->out = g_byte_array_new();
+	ev_io_init(&stream->writable, on_writable, -1, EV_WRITE);
+	ev_io_init(&stream->readable, on_outbound_readable, -1, EV_READ);
+	ev_timer_init(&stream->connect_timeout, on_connect_timeout,
+		      CONNECT_TIMEOUT_S, 0);
+	stream->writable.data = stream;
+	stream->readable.data = stream;
+	stream->connect_timeout.data = stream;
+	g_hash_table_insert(streams->outbound, &stream->peer, stream);
+	connect_outbound(stream);
+	return stream;
+}
+
+/* Writes all streams that got frames since the last time. */
+static void on_flush(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+	dws_streams_t *streams = watcher->data;
+
+	for (guint i = 0; i < streams->unflushed->len; i++) {
+		outbound_t *stream = g_ptr_array_index(streams->unflushed, i);
+
+		stream->is_unflushed = false;
+		if (stream->connected && !stream->is_broken)
+			write_outbound(stream);
+	}
+	g_ptr_array_set_size(streams->unflushed, 0);
+}
+
+static void append_frame(outbound_t *stream, const uint8_t *data,
+			 size_t size_bytes)
+{
+	uint32_t length = htonl((uint32_t)size_bytes);
+
+	g_byte_array_append(stream->out, (const guint8 *)&length,
+			    sizeof(length));
+	g_byte_array_append(stream->out, data, (guint)size_bytes);
+}
+
+/*
+ * Sends a frame. A frame over the limit, or one that a slow peer has no room
+ * for, breaks the stream: the owner hears of it like of any other loss.
+ */
+void dws_streams_send(dws_streams_t *streams, const dws_address_t *to,
+		      const uint8_t *data, size_t size_bytes)
+{
+	outbound_t *stream = g_hash_table_lookup(streams->outbound, to);
+
+	if (!stream)
+		stream = open_outbound(streams, to);
+	if (stream->is_broken)
+		return;
+	size_t unsent_bytes = stream->out->len - stream->sent_bytes;
+
+	if (size_bytes > streams->frame_max_bytes ||
+	    unsent_bytes + size_bytes > streams->buffer_max_bytes) {
+		break_outbound(stream);
+		return;
+	}
+	append_frame(stream, data, size_bytes);
+	dws_counters_add(streams->counters, DWS_COUNT_FRAMES_OUT, 1);
+	dws_counters_add(streams->counters, DWS_COUNT_FRAME_BYTES_OUT,
+			 size_bytes + DWS_FRAME_HEADER_BYTES);
+	if (stream->is_unflushed)
+		return;
+	stream->is_unflushed = true;
+	g_ptr_array_add(streams->unflushed, stream);
+	ev_feed_event(streams->ev, &streams->flush, EV_CUSTOM);
+}
+
+static void free_inbound(gpointer data)
+{
+	inbound_t *stream = data;
+
+	ev_io_stop(stream->streams->ev, &stream->readable);
+	close(stream->fd);
+	g_byte_array_free(stream->in, TRUE);
+	g_free(stream);
+}
+
+/* Reads the length of a frame. */
+static size_t frame_length(const uint8_t *header)
+{
+	uint32_t length;
+
+	memcpy(&length, header, sizeof(length));
+	return ntohl(length);
+}
+
+/*
+ * Hands over the whole frames at the start of the data and returns how many
+ * bytes they took; -1 if a frame is malformed.
+ */
+static ssize_t take_frames(dws_streams_t *streams, const uint8_t *data,
+			   size_t size_bytes)
+{
+	size_t done = 0;
+
+	while (size_bytes - done >= DWS_FRAME_HEADER_BYTES) {
+		size_t length = frame_length(data + done);
+
+		if (length == 0 || length > streams->frame_max_bytes)
+			return -1;
+		if (size_bytes - done - DWS_FRAME_HEADER_BYTES < length)
+			break;
+		dws_counters_add(streams->counters, DWS_COUNT_FRAMES_IN, 1);
+		dws_counters_add(streams->counters, DWS_COUNT_FRAME_BYTES_IN,
+				 length + DWS_FRAME_HEADER_BYTES);
+		if (!streams->ops->frame(streams->context,
+					 data + done + DWS_FRAME_HEADER_BYTES,
+					 length))
+			return -1;
+		done += DWS_FRAME_HEADER_BYTES + length;
+	}
+	return (ssize_t)done;
+}
+
+/* Takes bytes that were read into scratch; false if they are malformed. */
+static bool take_bytes(inbound_t *stream, size_t size_bytes)
+{
+	dws_streams_t *streams = stream->streams;
+
+	if (stream->in->len == 0) {
+		ssize_t done =
+			take_frames(streams, streams->scratch, size_bytes);
+
+		if (done < 0)
+			return false;
+		g_byte_array_append(stream->in, streams->scratch + done,
+				    (guint)(size_bytes - (size_t)done));
+		return true;
+	}
+	g_byte_array_append(stream->in, streams->scratch, (guint)size_bytes);
+	ssize_t done = take_frames(streams, stream->in->data, stream->in->len);
+
+	if (done < 0)
+		return false;
+	if ((guint)done == stream->in->len && done > BUFFER_KEPT_BYTES) {
+		g_byte_array_free(stream->in, TRUE);
+		stream->in = g_byte_array_new();
+	} else if (done > 0) {
+		g_byte_array_remove_range(stream->in, 0, (guint)done);
+	}
+	return true;
+}
+
+/* Reads one stream, for a bounded number of times. */
+static void on_inbound_readable(struct ev_loop *ev, ev_io *watcher, int events)
+{
+	inbound_t *stream = watcher->data;
+	dws_streams_t *streams = stream->streams;
+
+	for (int i = 0; i < READS_PER_EVENT; i++) {
+		ssize_t got = recv(stream->fd, streams->scratch, SCRATCH_BYTES,
+				   MSG_DONTWAIT);
+
+		if (got < 0 && (errno == EAGAIN || errno == EINTR))
+			return;
+		if (got <= 0) {
+			g_hash_table_remove(streams->inbound, stream);
+			return;
+		}
+		if (!take_bytes(stream, (size_t)got)) {
+			dws_counters_add(streams->counters,
+					 DWS_COUNT_BAD_MESSAGES, 1);
+			g_hash_table_remove(streams->inbound, stream);
+			return;
+		}
+		if (got < SCRATCH_BYTES)
+			return;
+	}
+}
+
+static void add_inbound(dws_streams_t *streams, int fd)
+{
+	inbound_t *stream = g_new0(inbound_t, 1);
+
+	stream->streams = streams;
+	stream->fd = fd;
+	stream->in = g_byte_array_new();
+	set_stream_options(fd);
+	ev_io_init(&stream->readable, on_inbound_readable, fd, EV_READ);
+	stream->readable.data = stream;
+	ev_io_start(streams->ev, &stream->readable);
+	g_hash_table_add(streams->inbound, stream);
+}
+
+/* Accepts all that wait; above the limit they are closed at once. */
+static void on_accept(struct ev_loop *ev, ev_io *watcher, int events)
+{
+	dws_streams_t *streams = watcher->data;
+
+	for (;;) {
+		int fd = accept4(streams->listen_fd, NULL, NULL,
+				 SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (fd < 0 && (errno == EMFILE || errno == ENFILE ||
+			       errno == ENOBUFS || errno == ENOMEM)) {
+			ev_io_stop(ev, &streams->accept_watcher);
+			ev_timer_set(&streams->accept_pause, ACCEPT_PAUSE_S, 0);
+			ev_timer_start(ev, &streams->accept_pause);
+		}
+		if (fd < 0)
+			return;
+		if (g_hash_table_size(streams->inbound) >= streams->inbound_max)
+			close(fd);
+		else
+			add_inbound(streams, fd);
+	}
+}
+
+static void on_accept_pause(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+	dws_streams_t *streams = watcher->data;
+
+	ev_io_start(ev, &streams->accept_watcher);
+}
+
+static void init_watchers(dws_streams_t *streams)
+{
+	ev_io_init(&streams->accept_watcher, on_accept, streams->listen_fd,
+		   EV_READ);
+	ev_timer_init(&streams->accept_pause, on_accept_pause, ACCEPT_PAUSE_S,
+		      0);
+	ev_timer_init(&streams->flush, on_flush, 0, 0);
+	ev_set_priority(&streams->flush, EV_MINPRI);
+	ev_timer_init(&streams->report, on_report, REPORT_DELAY_S, 0);
+	streams->accept_watcher.data = streams;
+	streams->accept_pause.data = streams;
+	streams->flush.data = streams;
+	streams->report.data = streams;
+	ev_io_start(streams->ev, &streams->accept_watcher);
+}
+
+/*
+ * Starts on memory of the caller. Frames above the maximum are refused on
+ * both sides.
+ */
+bool dws_streams_init(dws_streams_t *streams, const dws_stream_ops_t *ops,
+		      void *context, struct ev_loop *ev,
+		      dws_counters_t *counters, const dws_address_t *listen,
+		      size_t frame_max_bytes, GError **error)
+{
+	memset(streams, 0, sizeof(*streams));
+	streams->listen = *listen;
+	streams->listen_fd =
+		dws_address_bind(&streams->listen, SOCK_STREAM, error);
+	if (streams->listen_fd < 0)
+		return false;
+	streams->ops = ops;
+	streams->context = context;
+	streams->ev = ev;
+	streams->counters = counters;
+	streams->frame_max_bytes = frame_max_bytes;
+	streams->buffer_max_bytes = frame_max_bytes * BUFFERED_FRAMES_MAX;
+	streams->inbound_max = INBOUND_MAX;
+	streams->outbound = g_hash_table_new_full(address_hash, address_equal,
+						  NULL, free_outbound);
+	streams->inbound = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+						 free_inbound, NULL);
+	streams->unflushed = g_ptr_array_new();
+	streams->broken = g_ptr_array_new();
+	streams->scratch = g_malloc(SCRATCH_BYTES);
+	init_watchers(streams);
+	return true;
+}
+
+/* Frees all streams. The kernel goes on sending what it has taken. */
+void dws_streams_finish(dws_streams_t *streams)
+{
+	on_flush(streams->ev, &streams->flush, 0);
+	ev_clear_pending(streams->ev, &streams->flush);
+	ev_timer_stop(streams->ev, &streams->report);
+	ev_io_stop(streams->ev, &streams->accept_watcher);
+	ev_timer_stop(streams->ev, &streams->accept_pause);
+	close(streams->listen_fd);
+	g_hash_table_destroy(streams->outbound);
+	g_hash_table_destroy(streams->inbound);
+	g_ptr_array_free(streams->unflushed, TRUE);
+	g_ptr_array_free(streams->broken, TRUE);
+	g_free(streams->scratch);
+}
--- /dev/null
+++ b/src/process/log_io.c
@@ -0,0 +1,218 @@
+/*
+ * The log. Lines are gathered in a buffer and written once per loop
+ * iteration. A reader that stalls (a full pipe) costs lines, never time: what
+ * exceeds the buffer is dropped and counted in the next line.
+ */
+#include <errno.h>
+#include <fcntl.h>
+#include <limits.h>
+#include <poll.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+#include "process/log_io.h"
+
+#define BUFFER_MAX_BYTES (1024 * 1024)
+#define WALL_MS_PER_S 1000
+
+static const char *const level_names[] = {
+	[DWS_LOG_ERROR] = "error",
+	[DWS_LOG_WARNING] = "warning",
+	[DWS_LOG_INFO] = "info",
+	[DWS_LOG_DEBUG] = "debug",
+};
+
+/*
+ * Starts a log on memory of the caller. The file is created or appended to.
+ */
+bool dws_log_init(dws_log_t *log, const char *file, dws_log_level_t level,
+		  GError **error)
+{
+	memset(log, 0, sizeof(*log));
+	log->level = level;
+	log->fd = STDERR_FILENO;
+	log->second = -1;
+	if (file[0]) {
+		log->fd = open(file, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+			       0640);
+		if (log->fd < 0) {
+			g_set_error(error, DWS_ERROR, DWS_ERROR_SYSTEM,
+				    "log file %s: %s; name a file in a "
+				    "directory that the daemon may write to, "
+				    "or leave it out for standard error",
+				    file, g_strerror(errno));
+			return false;
+		}
+		log->owns_fd = true;
+	}
+	log->buffer = g_string_sized_new(4096);
+	return true;
+}
+
+/* Writes what is left and closes the file. */
+void dws_log_finish(dws_log_t *log)
+{
+	dws_log_flush(log);
+	g_string_free(log->buffer, TRUE);
+	if (log->owns_fd)
+		close(log->fd);
+}
+
+/* Tells whether events of a level are written at all. */
+bool dws_log_enabled(const dws_log_t *log, dws_log_level_t level)
+{
+	return level <= log->level;
+}
+
+/* True if a value must stand in quotes. */
+static bool needs_quotes(const char *value)
+{
+	if (!value[0])
+		return true;
+	for (const char *c = value; *c; c++) {
+		if ((unsigned char)*c <= ' ' || (unsigned char)*c == 0x7f ||
+		    *c == '"' || *c == '\\' || *c == '=')
+			return true;
+	}
+	return false;
+}
+
+/* Appends a value in quotes; quotes, backslashes and controls are escaped. */
+static void append_quoted(GString *text, const char *value)
+{
+	g_string_append_c(text, '"');
+	for (const char *c = value; *c; c++) {
+		unsigned char byte = (unsigned char)*c;
+
+		if (byte == '"' || byte == '\\')
+			g_string_append_printf(text, "\\%c", byte);
+		else if (byte == '\n')
+			g_string_append(text, "\\n");
+		else if (byte < ' ' || byte == 0x7f)
+			g_string_append_printf(text, "\\x%02x", byte);
+		else
+			g_string_append_c(text, *c);
+	}
+	g_string_append_c(text, '"');
+}
+
+/* Appends one pair to a list of fields, with a space if it is not empty. */
+void dws_log_append(GString *fields, const char *key, const char *value)
+{
+	if (fields->len)
+		g_string_append_c(fields, ' ');
+	g_string_append(fields, key);
+	g_string_append_c(fields, '=');
+	if (needs_quotes(value))
+		append_quoted(fields, value);
+	else
+		g_string_append(fields, value);
+}
+
+/* Appends "ts=TIME level=LEVEL event=NAME"; the time is UTC with ms. */
+static void append_head(dws_log_t *log, dws_log_level_t level,
+			const char *event)
+{
+	struct timespec now;
+	struct tm parts;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	if (now.tv_sec != log->second) {
+		gmtime_r(&now.tv_sec, &parts);
+		strftime(log->stamp, sizeof(log->stamp), "%Y-%m-%dT%H:%M:%S",
+			 &parts);
+		log->second = now.tv_sec;
+	}
+	g_string_append_printf(log->buffer, "ts=%s.%03dZ level=%s event=%s",
+			       log->stamp,
+			       (int)(now.tv_nsec / 1000 / WALL_MS_PER_S),
+			       level_names[level], event);
+}
+
+/* Makes sure that one more line fits; false (and counted) if it can't. */
+static bool make_room(dws_log_t *log)
+{
+	if (log->buffer->len >= BUFFER_MAX_BYTES)
+		dws_log_flush(log);
+	if (log->buffer->len >= BUFFER_MAX_BYTES) {
+		log->dropped++;
+		return false;
+	}
+	if (log->dropped) {
+		append_head(log, DWS_LOG_WARNING, "log_dropped");
+		g_string_append_printf(log->buffer,
+				       " lines=%" G_GUINT64_FORMAT "\n",
+				       log->dropped);
+		log->dropped = 0;
+	}
+	return true;
+}
+
+/* Adds an event to the buffer. Line ends in fields become spaces. */
+void dws_log_event(dws_log_t *log, dws_log_level_t level, const char *event,
+		   const char *fields)
+{
+	if (!dws_log_enabled(log, level) || !make_room(log))
+		return;
+	append_head(log, level, event);
+	if (fields && fields[0]) {
+		g_string_append_c(log->buffer, ' ');
+		gsize start = log->buffer->len;
+
+		g_string_append(log->buffer, fields);
+		g_strdelimit(log->buffer->str + start, "\r\n", ' ');
+	}
+	g_string_append_c(log->buffer, '\n');
+}
+
+/* Adds one hop of a request as an event "span". */
+void dws_log_span(dws_log_t *log, const dws_span_t *span)
+{
+	if (!dws_log_enabled(log, DWS_LOG_INFO) || !make_room(log))
+		return;
+	GString *line = log->buffer;
+
+	append_head(log, DWS_LOG_INFO, "span");
+	dws_log_append(line, "trace", span->trace_id);
+	dws_log_append(line, "span", span->span_id);
+	dws_log_append(line, "parent", span->parent_id);
+	dws_log_append(line, "name", span->name);
+	dws_log_append(line, "vm", span->vm_id);
+	dws_log_append(line, "kind", span->kind ? span->kind : "");
+	dws_log_append(line, "outcome", span->outcome);
+	dws_log_append(line, "reason", span->reason);
+	g_string_append_printf(line,
+			       " status=%u start_us=%" G_GINT64_FORMAT
+			       " duration_us=%" G_GINT64_FORMAT
+			       " queued_us=%" G_GINT64_FORMAT " hop=%u\n",
+			       span->status, span->start_us, span->duration_us,
+			       span->queued_us, span->hop);
+}
+
+/* The part of the buffer that a pipe with room surely takes at once. */
+static size_t next_chunk(const GString *buffer, size_t done)
+{
+	size_t left = buffer->len - done;
+
+	return left < PIPE_BUF ? left : PIPE_BUF;
+}
+
+/* Writes the buffer without ever waiting; what is left stays buffered. */
+void dws_log_flush(dws_log_t *log)
+{
+	size_t done = 0;
+
+	while (done < log->buffer->len) {
+		struct pollfd ready = {.fd = log->fd, .events = POLLOUT};
+
+		if (poll(&ready, 1, 0) != 1 || !(ready.revents & POLLOUT))
+			break;
+		ssize_t wrote = write(log->fd, log->buffer->str + done,
+				      next_chunk(log->buffer, done));
+
+		if (wrote <= 0)
+			break;
+		done += (size_t)wrote;
+	}
+	g_string_erase(log->buffer, 0, (gssize)done);
+}
--- /dev/null
+++ b/src/process/loop_io.c
@@ -0,0 +1,471 @@
+/*
+ * The daemon: passes what happens on sockets to a node, and what the node
+ * wants to sockets.
+ *
+ * The node must not be called from within its own callbacks, so the parts
+ * below report failures of their own later, from the loop. After each batch
+ * of events the node gets a tick, and then the streams are written: both are
+ * events of low priority, which libev calls after all others and before it
+ * waits again.
+ */
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+#include <time.h>
+#include "process/loop_io.h"
+
+/* Longest time between two ticks. */
+#define TICK_MAX_US DWS_US_PER_S
+/* The same while the end of a drain is awaited. */
+#define DRAIN_TICK_MAX_US (20 * DWS_US_PER_MS)
+/* Longer than planned by this: the process was paused. */
+#define GAP_US (500 * DWS_US_PER_MS)
+#define LOG_DELAY_S 0.05
+/* For slow readers of the last answers. */
+#define LAST_ANSWERS_MAX_US (5 * DWS_US_PER_S)
+#define NS_PER_US 1000
+#define NS_PER_MS 1000000
+#define MS_PER_S 1000
+
+static int64_t monotonic_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return now.tv_sec * DWS_US_PER_S + now.tv_nsec / NS_PER_US;
+}
+
+static int64_t wall_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	return (int64_t)now.tv_sec * MS_PER_S + now.tv_nsec / NS_PER_MS;
+}
+
+/* Logs an event with one pair, or none if key is NULL. */
+static void log_pair(dws_loop_t *loop, dws_log_level_t level, const char *event,
+		     const char *key, const char *value)
+{
+	GString *fields = g_string_new(NULL);
+
+	if (key)
+		dws_log_append(fields, key, value);
+	dws_log_event(&loop->log, level, event, fields->str);
+	g_string_free(fields, TRUE);
+}
+
+static void start_drain(dws_loop_t *loop, int64_t now_us, const char *cause)
+{
+	if (loop->is_draining)
+		return;
+	loop->is_draining = true;
+	log_pair(loop, DWS_LOG_INFO, "drain_started", "cause", cause);
+	dws_http_server_drain(&loop->server);
+	dws_node_drain(loop->node, now_us);
+}
+
+/* Ends the loop once the drain is over and the last answers are out. */
+static void check_drained(dws_loop_t *loop, int64_t now_us)
+{
+	if (!loop->drained_us) {
+		if (!dws_node_is_drained(loop->node, now_us))
+			return;
+		loop->drained_us = now_us;
+		dws_http_server_drain(&loop->server);
+		dws_http_server_quiesce(&loop->server);
+	}
+	bool is_late = now_us - loop->drained_us > LAST_ANSWERS_MAX_US;
+
+	if (!dws_http_server_is_idle(&loop->server) && !is_late)
+		return;
+	log_pair(loop, DWS_LOG_INFO, "drain_ended", "answers_cut",
+		 is_late ? "true" : "false");
+	ev_break(loop->ev, EVBREAK_ALL);
+}
+
+/* Lets the node do what is due and sets the time of the next tick. */
+static void tick(dws_loop_t *loop)
+{
+	int64_t now_us = monotonic_us();
+	int64_t most_us = loop->is_draining ? DRAIN_TICK_MAX_US : TICK_MAX_US;
+	int64_t wake_us = dws_node_tick(loop->node, now_us, wall_ms());
+
+	loop->seen_us = now_us;
+	loop->wake_us = CLAMP(wake_us, now_us, now_us + most_us);
+	ev_now_update(loop->ev);
+	ev_timer_stop(loop->ev, &loop->tick);
+	ev_timer_set(&loop->tick,
+		     (double)(loop->wake_us - now_us) / (double)DWS_US_PER_S,
+		     0);
+	ev_timer_start(loop->ev, &loop->tick);
+	if (loop->log.buffer->len)
+		ev_timer_start(loop->ev, &loop->log_flush);
+}
+
+static void on_tick(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+	dws_loop_t *loop = watcher->data;
+
+	tick(loop);
+	check_drained(loop, loop->seen_us);
+}
+
+static void on_log_flush(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+	dws_loop_t *loop = watcher->data;
+
+	dws_log_flush(&loop->log);
+}
+
+/*
+ * Returns the time for an event that is to be passed to the node. After a
+ * pause the node gets a tick first, so that it learns of the pause before it
+ * learns of what has piled up meanwhile.
+ */
+static int64_t enter(dws_loop_t *loop)
+{
+	int64_t now_us = monotonic_us();
+
+	if (now_us - MAX(loop->seen_us, loop->wake_us) > GAP_US) {
+		tick(loop);
+		now_us = monotonic_us();
+	}
+	loop->seen_us = now_us;
+	ev_feed_event(loop->ev, &loop->tick, EV_TIMER);
+	return now_us;
+}
+
+static void on_signal(struct ev_loop *ev, ev_signal *watcher, int events)
+{
+	dws_loop_t *loop = watcher->data;
+
+	start_drain(loop, enter(loop), "signal");
+}
+
+/* Logs why a message of a peer was refused. */
+static void log_bad_message(dws_loop_t *loop, const char *event, GError *error)
+{
+	log_pair(loop, DWS_LOG_WARNING, event, "error",
+		 error ? error->message : "malformed");
+	g_clear_error(&error);
+}
+
+static bool on_frame(void *context, const uint8_t *data, size_t size_bytes)
+{
+	dws_loop_t *loop = context;
+	GError *error = NULL;
+
+	if (dws_node_frame(loop->node, enter(loop), data, size_bytes, &error))
+		return true;
+	log_bad_message(loop, "frame_refused", error);
+	return false;
+}
+
+static void on_stream_lost(void *context, const dws_address_t *peer)
+{
+	dws_loop_t *loop = context;
+
+	dws_node_stream_lost(loop->node, enter(loop), peer);
+}
+
+static bool on_datagram(void *context, const uint8_t *data, size_t size_bytes)
+{
+	dws_loop_t *loop = context;
+	GError *error = NULL;
+
+	if (dws_node_datagram(loop->node, enter(loop), data, size_bytes,
+			      &error))
+		return true;
+	log_bad_message(loop, "datagram_refused", error);
+	return false;
+}
+
+static void on_dispatched(void *context, uint64_t attempt_id,
+			  const dws_dispatch_outcome_t *outcome)
+{
+	dws_loop_t *loop = context;
+
+	dws_node_dispatched(loop->node, enter(loop), attempt_id, outcome);
+}
+
+static void on_platform_read(void *context, dws_platform_item_t item, bool ok,
+			     const char *text, size_t size_bytes)
+{
+	dws_loop_t *loop = context;
+
+	dws_node_platform_read(loop->node, enter(loop), item, ok, text,
+			       size_bytes);
+}
+
+static uint64_t on_call(void *context, const dws_call_t *call)
+{
+	dws_loop_t *loop = context;
+
+	return dws_node_call(loop->node, enter(loop), call);
+}
+
+static void on_caller_gone(void *context, uint64_t call_id)
+{
+	dws_loop_t *loop = context;
+
+	dws_node_caller_gone(loop->node, enter(loop), call_id);
+}
+
+static char *on_describe(void *context, const char *view)
+{
+	dws_loop_t *loop = context;
+
+	return dws_node_describe(loop->node, enter(loop), view);
+}
+
+static void on_drain(void *context)
+{
+	dws_loop_t *loop = context;
+
+	start_drain(loop, enter(loop), "operator");
+}
+
+static const dws_stream_ops_t stream_ops = {
+	.frame = on_frame,
+	.lost = on_stream_lost,
+};
+
+static const dws_datagram_ops_t datagram_ops = {
+	.datagram = on_datagram,
+};
+
+static const dws_http_client_ops_t client_ops = {
+	.dispatched = on_dispatched,
+	.platform_read = on_platform_read,
+};
+
+static const dws_http_server_ops_t server_ops = {
+	.call = on_call,
+	.caller_gone = on_caller_gone,
+	.describe = on_describe,
+	.drain = on_drain,
+};
+
+static void io_answer(dws_io_t *io, uint64_t call_id,
+		      const dws_answer_t *answer)
+{
+	dws_http_server_answer(&((dws_loop_t *)io)->server, call_id, answer);
+}
+
+static void io_dispatch(dws_io_t *io, const dws_dispatch_t *dispatch)
+{
+	dws_http_client_dispatch(&((dws_loop_t *)io)->client, monotonic_us(),
+				 dispatch);
+}
+
+static void io_cancel(dws_io_t *io, uint64_t attempt_id)
+{
+	dws_http_client_cancel(&((dws_loop_t *)io)->client, attempt_id);
+}
+
+static void io_send_frame(dws_io_t *io, const dws_address_t *to,
+			  const uint8_t *data, size_t size_bytes)
+{
+	dws_streams_send(&((dws_loop_t *)io)->streams, to, data, size_bytes);
+}
+
+static void io_send_datagram(dws_io_t *io, const dws_address_t *to,
+			     const uint8_t *data, size_t size_bytes)
+{
+	dws_datagrams_send(&((dws_loop_t *)io)->datagrams, to, data,
+			   size_bytes);
+}
+
+static void io_read_platform(dws_io_t *io, dws_platform_item_t item,
+			     uint64_t after, int64_t wait_ms)
+{
+	dws_http_client_read(&((dws_loop_t *)io)->client, item, after, wait_ms);
+}
+
+static void io_log(dws_io_t *io, dws_log_level_t level, const char *event,
+		   const char *fields)
+{
+	dws_log_event(&((dws_loop_t *)io)->log, level, event, fields);
+}
+
+static void io_span(dws_io_t *io, const dws_span_t *span)
+{
+	dws_log_span(&((dws_loop_t *)io)->log, span);
+}
+
+static const dws_io_ops_t io_ops = {
+	.answer = io_answer,
+	.dispatch = io_dispatch,
+	.cancel = io_cancel,
+	.send_frame = io_send_frame,
+	.send_datagram = io_send_datagram,
+	.read_platform = io_read_platform,
+	.log = io_log,
+	.span = io_span,
+};
+
+static void init_watchers(dws_loop_t *loop)
+{
+	ev_timer_init(&loop->tick, on_tick, 0, 0);
+	ev_set_priority(&loop->tick, EV_MINPRI + 1);
+	ev_timer_init(&loop->log_flush, on_log_flush, LOG_DELAY_S, 0);
+	ev_signal_init(&loop->terminate, on_signal, SIGTERM);
+	ev_signal_init(&loop->interrupt, on_signal, SIGINT);
+	loop->tick.data = loop;
+	loop->log_flush.data = loop;
+	loop->terminate.data = loop;
+	loop->interrupt.data = loop;
+}
+
+/* Opens the sockets and the HTTP client that the node needs from its start. */
+static bool open_transports(dws_loop_t *loop, GError **error)
+{
+	dws_settings_t *settings = &loop->settings;
+	size_t frame_max_bytes =
+		settings->max_body_bytes + DWS_FRAME_SLACK_BYTES;
+
+	if (!dws_streams_init(&loop->streams, &stream_ops, loop, loop->ev,
+			      &loop->early_counters, &settings->frame_listen,
+			      frame_max_bytes, error))
+		return false;
+	if (!dws_datagrams_init(&loop->datagrams, &datagram_ops, loop, loop->ev,
+				&loop->early_counters,
+				&settings->datagram_listen, error)) {
+		dws_streams_finish(&loop->streams);
+		return false;
+	}
+	if (!dws_http_client_init(&loop->client, &client_ops, loop, loop->ev,
+				  settings, error)) {
+		dws_datagrams_finish(&loop->datagrams);
+		dws_streams_finish(&loop->streams);
+		return false;
+	}
+	settings->frame_listen = loop->streams.listen;
+	settings->datagram_listen = loop->datagrams.listen;
+	return true;
+}
+
+static void close_transports(dws_loop_t *loop)
+{
+	dws_http_client_finish(&loop->client);
+	dws_datagrams_finish(&loop->datagrams);
+	dws_streams_finish(&loop->streams);
+}
+
+/* Starts the node with an epoch and a seed of the system's random source. */
+static bool start_node(dws_loop_t *loop, GError **error)
+{
+	struct {
+		uint64_t epoch;
+		uint64_t seed;
+	} drawn;
+
+	if (getrandom(&drawn, sizeof(drawn), 0) != sizeof(drawn)) {
+		g_set_error(error, DWS_ERROR, DWS_ERROR_SYSTEM,
+			    "getrandom: no random numbers; check that the "
+			    "system's random source is ready");
+		return false;
+	}
+	loop->node = g_malloc0(dws_node_size_bytes());
+	loop->seen_us = monotonic_us();
+	loop->wake_us = loop->seen_us;
+	/* An epoch of 0 stands for "unknown". */
+	dws_node_init(loop->node, &loop->settings, &loop->io, drawn.epoch | 1,
+		      drawn.seed, loop->seen_us, wall_ms());
+	loop->streams.counters = dws_node_counters(loop->node);
+	loop->datagrams.counters = dws_node_counters(loop->node);
+	return true;
+}
+
+static void log_address(dws_loop_t *loop, const char *name,
+			const dws_address_t *address)
+{
+	char fields[128];
+
+	g_snprintf(fields, sizeof(fields), "name=%s ip=%s port=%u", name,
+		   address->ip, address->port);
+	dws_log_event(&loop->log, DWS_LOG_INFO, "listening", fields);
+}
+
+static void log_start(dws_loop_t *loop)
+{
+	const dws_listener_t *listeners = loop->server.listeners;
+
+	log_pair(loop, DWS_LOG_INFO, "started", "vm", loop->settings.vm_id);
+	log_address(loop, "callers", &listeners[DWS_LISTENER_CALLERS].address);
+	log_address(loop, "upstream",
+		    &listeners[DWS_LISTENER_UPSTREAM].address);
+	log_address(loop, "admin", &listeners[DWS_LISTENER_ADMIN].address);
+	log_address(loop, "frames", &loop->streams.listen);
+	log_address(loop, "datagrams", &loop->datagrams.listen);
+	dws_log_flush(&loop->log);
+}
+
+/* Starts the node and, last, the listeners that let work in. */
+static bool start_serving(dws_loop_t *loop, GError **error)
+{
+	if (!start_node(loop, error))
+		return false;
+	if (dws_http_server_init(&loop->server, &server_ops, loop, loop->ev,
+				 dws_node_counters(loop->node), &loop->settings,
+				 error))
+		return true;
+	dws_node_finish(loop->node);
+	g_free(loop->node);
+	return false;
+}
+
+/* Starts everything on memory of the caller. */
+bool dws_loop_init(dws_loop_t *loop, const dws_settings_t *settings,
+		   GError **error)
+{
+	memset(loop, 0, sizeof(*loop));
+	loop->io.ops = &io_ops;
+	loop->settings = *settings;
+	if (!dws_log_init(&loop->log, settings->log_file, settings->log_level,
+			  error))
+		return false;
+	signal(SIGPIPE, SIG_IGN);
+	loop->ev = ev_loop_new(EVFLAG_AUTO);
+	init_watchers(loop);
+	if (open_transports(loop, error)) {
+		if (start_serving(loop, error)) {
+			log_start(loop);
+			return true;
+		}
+		close_transports(loop);
+	}
+	ev_timer_stop(loop->ev, &loop->tick);
+	ev_clear_pending(loop->ev, &loop->tick);
+	ev_loop_destroy(loop->ev);
+	dws_log_finish(&loop->log);
+	return false;
+}
+
+/* Serves until SIGTERM, SIGINT or an operator's drain has been carried out. */
+void dws_loop_run(dws_loop_t *loop)
+{
+	ev_signal_start(loop->ev, &loop->terminate);
+	ev_signal_start(loop->ev, &loop->interrupt);
+	ev_feed_event(loop->ev, &loop->tick, EV_TIMER);
+	ev_run(loop->ev, 0);
+	ev_signal_stop(loop->ev, &loop->terminate);
+	ev_signal_stop(loop->ev, &loop->interrupt);
+}
+
+/* Closes everything and frees the node. */
+void dws_loop_finish(dws_loop_t *loop)
+{
+	dws_http_server_finish(&loop->server);
+	close_transports(loop);
+	dws_node_finish(loop->node);
+	g_free(loop->node);
+	ev_timer_stop(loop->ev, &loop->tick);
+	ev_timer_stop(loop->ev, &loop->log_flush);
+	ev_clear_pending(loop->ev, &loop->tick);
+	ev_loop_destroy(loop->ev);
+	log_pair(loop, DWS_LOG_INFO, "stopped", NULL, NULL);
+	dws_log_finish(&loop->log);
+}
