--- /dev/null
+++ b/src/version/document.c
@@ -0,0 +1,219 @@
+/*
+ * Values of documents: construction, access and merge.
+ */
+#include "version/document.h"
+
+/* Frees a key of a map and drops its value. */
+static void free_pair(void *data)
+{
+	dws_pair_t *pair = data;
+
+	g_free(pair->key);
+	dws_value_unref(pair->value);
+	g_free(pair);
+}
+
+/* Drops a value held by a list. */
+static void free_item(void *data)
+{
+	dws_value_unref(data);
+}
+
+/* A value of a type without content, with one reference. */
+static dws_value_t *new_value(dws_value_type_t type, uint32_t line)
+{
+	dws_value_t *value = g_new0(dws_value_t, 1);
+
+	value->references = 1;
+	value->type = type;
+	value->line = line;
+	return value;
+}
+
+/* Takes one more reference and returns the value. */
+dws_value_t *dws_value_ref(dws_value_t *value)
+{
+	value->references++;
+	return value;
+}
+
+/*
+ * Drops a reference; the last one frees the value and drops its children.
+ * The recursion is bounded by the depth that the parser admits. Ignores NULL.
+ */
+void dws_value_unref(dws_value_t *value)
+{
+	if (!value || --value->references > 0)
+		return;
+	g_free(value->text);
+	if (value->index)
+		g_hash_table_unref(value->index);
+	if (value->items)
+		g_ptr_array_unref(value->items);
+	g_free(value);
+}
+
+/* A scalar with a copy of the text; an unquoted "null" or "~" is null. */
+dws_value_t *dws_value_new_scalar(const char *text, bool quoted, uint32_t line)
+{
+	dws_value_t *value = new_value(DWS_VALUE_SCALAR, line);
+
+	value->text = g_strdup(text);
+	value->quoted = quoted;
+	return value;
+}
+
+/* A scalar that holds a decimal number. */
+dws_value_t *dws_value_new_number(uint64_t number)
+{
+	char text[24];
+
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, number);
+	return dws_value_new_scalar(text, false, 0);
+}
+
+/* An empty map. */
+dws_value_t *dws_value_new_map(uint32_t line)
+{
+	dws_value_t *value = new_value(DWS_VALUE_MAP, line);
+
+	value->items = g_ptr_array_new_with_free_func(free_pair);
+	value->index = g_hash_table_new(g_str_hash, g_str_equal);
+	return value;
+}
+
+/* An empty list. */
+dws_value_t *dws_value_new_list(uint32_t line)
+{
+	dws_value_t *value = new_value(DWS_VALUE_LIST, line);
+
+	value->items = g_ptr_array_new_with_free_func(free_item);
+	return value;
+}
+
+/*
+ * Adds a key to a map that is still being built. False if the key is there
+ * already: then the value is dropped.
+ */
+bool dws_value_put(dws_value_t *map, const char *key, uint32_t line,
+		   dws_value_t *value)
+{
+	if (g_hash_table_contains(map->index, key)) {
+		dws_value_unref(value);
+		return false;
+	}
+	dws_pair_t *pair = g_new0(dws_pair_t, 1);
+
+	pair->key = g_strdup(key);
+	pair->line = line;
+	pair->value = value;
+	g_ptr_array_add(map->items, pair);
+	g_hash_table_insert(map->index, pair->key, pair);
+	return true;
+}
+
+/* Adds an item to a list that is still being built. */
+void dws_value_append(dws_value_t *list, dws_value_t *value)
+{
+	g_ptr_array_add(list->items, value);
+}
+
+/* Tells whether a value is the YAML null: plain and empty, "~" or "null". */
+bool dws_value_is_null(const dws_value_t *value)
+{
+	if (value->type != DWS_VALUE_SCALAR || value->quoted)
+		return false;
+	return value->text[0] == '\0' || !strcmp(value->text, "~") ||
+	       !strcmp(value->text, "null") || !strcmp(value->text, "Null") ||
+	       !strcmp(value->text, "NULL");
+}
+
+/* Looks up a key of a map. */
+dws_value_t *dws_value_get(const dws_value_t *map, const char *key)
+{
+	if (!map || map->type != DWS_VALUE_MAP)
+		return NULL;
+	const dws_pair_t *pair = g_hash_table_lookup(map->index, key);
+
+	return pair ? pair->value : NULL;
+}
+
+/* The text of a scalar that is not null. */
+const char *dws_value_text(const dws_value_t *value)
+{
+	if (!value || value->type != DWS_VALUE_SCALAR ||
+	    dws_value_is_null(value))
+		return NULL;
+	return value->text;
+}
+
+/* Reads a number of decimal digits that is at most max. */
+bool dws_value_number(const dws_value_t *value, uint64_t max, uint64_t *number)
+{
+	const char *text = dws_value_text(value);
+
+	return text &&
+	       g_ascii_string_to_unsigned(text, 10, 0, max, number, NULL);
+}
+
+/* Orders pairs by the bytes of their keys. */
+static int compare_pairs(const void *a, const void *b)
+{
+	const dws_pair_t *const *first = a;
+	const dws_pair_t *const *second = b;
+
+	return strcmp((*first)->key, (*second)->key);
+}
+
+/* The pairs of a map in the order of their keys. */
+GPtrArray *dws_value_sorted(const dws_value_t *map)
+{
+	GPtrArray *pairs = g_ptr_array_sized_new(map->items->len);
+
+	for (guint i = 0; i < map->items->len; i++)
+		g_ptr_array_add(pairs, map->items->pdata[i]);
+	g_ptr_array_sort(pairs, compare_pairs);
+	return pairs;
+}
+
+/* Merges the keys that a document and a patch share, or only the first has. */
+static void merge_present(dws_value_t *merged, dws_value_t *document,
+			  dws_value_t *patch)
+{
+	for (guint i = 0; i < document->items->len; i++) {
+		const dws_pair_t *pair = document->items->pdata[i];
+		dws_value_t *change = dws_value_get(patch, pair->key);
+
+		if (!change)
+			dws_value_put(merged, pair->key, pair->line,
+				      dws_value_ref(pair->value));
+		else if (!dws_value_is_null(change))
+			dws_value_put(merged, pair->key, pair->line,
+				      dws_document_merge(pair->value, change));
+	}
+}
+
+/*
+ * Merges a patch into a document and returns a new tree that shares what is
+ * unchanged: maps key by key, null removes a key, else the patch replaces
+ * (JSON Merge Patch, RFC 7396). The document may be NULL.
+ */
+dws_value_t *dws_document_merge(dws_value_t *document, dws_value_t *patch)
+{
+	if (patch->type != DWS_VALUE_MAP)
+		return dws_value_ref(patch);
+	dws_value_t *merged = dws_value_new_map(patch->line);
+
+	if (document && document->type == DWS_VALUE_MAP)
+		merge_present(merged, document, patch);
+	for (guint i = 0; i < patch->items->len; i++) {
+		const dws_pair_t *pair = patch->items->pdata[i];
+
+		if (dws_value_is_null(pair->value) ||
+		    dws_value_get(document, pair->key))
+			continue;
+		dws_value_put(merged, pair->key, pair->line,
+			      dws_document_merge(NULL, pair->value));
+	}
+	return merged;
+}
--- /dev/null
+++ b/src/version/document_text.c
@@ -0,0 +1,158 @@
+/*
+ * Canonical text of documents: block style, keys sorted by their bytes, one
+ * spelling for each value. Equal trees give equal bytes, and parsing the text
+ * gives an equal tree.
+ */
+#include "version/document.h"
+
+#define INDENT_STEP 2
+
+/* Tells whether a byte may stand in an unquoted text. */
+static bool is_plain_byte(char byte)
+{
+	return g_ascii_isalnum(byte) || strchr("_./+-", byte) != NULL;
+}
+
+/*
+ * Tells whether a text needs no quotes. Colons are allowed inside, for times
+ * and addresses.
+ */
+static bool is_plain(const char *text)
+{
+	if (!g_ascii_isalnum(text[0]) && text[0] != '/')
+		return false;
+	for (const char *byte = text; *byte; byte++) {
+		bool inner_colon = *byte == ':' && g_ascii_isalnum(byte[1]);
+
+		if (!is_plain_byte(*byte) && !inner_colon)
+			return false;
+	}
+	return true;
+}
+
+/* Tells whether a character needs no escape within quotes. */
+static bool is_printable(gunichar character)
+{
+	if (character < 0x7f)
+		return character >= 0x20 && character != '"' &&
+		       character != '\\';
+	if (character == 0x2028 || character == 0x2029 || character == 0xfeff)
+		return false;
+	return character > 0xa0 &&
+	       (character < 0xd800 ||
+		(character >= 0xe000 && character <= 0xfffd));
+}
+
+/* Appends a character of a quoted text. */
+static void write_character(GString *out, gunichar character)
+{
+	if (is_printable(character))
+		g_string_append_unichar(out, character);
+	else if (character == '"' || character == '\\')
+		g_string_append_printf(out, "\\%c", (char)character);
+	else if (character <= 0xffff)
+		g_string_append_printf(out, "\\u%04X", character);
+	else
+		g_string_append_printf(out, "\\U%08X", character);
+}
+
+/* Appends a text in the only quotes that can hold any text. */
+static void write_quoted(GString *out, const char *text)
+{
+	g_string_append_c(out, '"');
+	for (const char *at = text; *at; at = g_utf8_next_char(at))
+		write_character(out, g_utf8_get_char(at));
+	g_string_append_c(out, '"');
+}
+
+/* Appends a key or a scalar; text that reads as null gets quotes. */
+static void write_text(GString *out, const char *text)
+{
+	bool reads_null = !g_ascii_strcasecmp(text, "null");
+
+	if (is_plain(text) && !reads_null)
+		g_string_append(out, text);
+	else
+		write_quoted(out, text);
+}
+
+/* Starts a line, unless the value goes on the line of a list's dash. */
+static void write_indent(GString *out, int indent, bool *on_dash_line)
+{
+	if (!*on_dash_line)
+		g_string_append_printf(out, "%*s", indent, "");
+	*on_dash_line = false;
+}
+
+static void write_value(GString *out, const dws_value_t *value, int indent,
+			bool on_dash_line);
+
+/* Tells whether a value is written behind its key or dash. */
+static bool is_short(const dws_value_t *value)
+{
+	return value->type == DWS_VALUE_SCALAR || value->items->len == 0;
+}
+
+/* Appends a scalar or an empty collection. */
+static void write_short(GString *out, const dws_value_t *value)
+{
+	if (value->type == DWS_VALUE_MAP)
+		g_string_append(out, "{}");
+	else if (value->type == DWS_VALUE_LIST)
+		g_string_append(out, "[]");
+	else if (dws_value_is_null(value))
+		g_string_append(out, "null");
+	else
+		write_text(out, value->text);
+	g_string_append_c(out, '\n');
+}
+
+/* Appends the keys of a map, a line or block each. */
+static void write_map(GString *out, const dws_value_t *map, int indent,
+		      bool on_dash_line)
+{
+	GPtrArray *pairs = dws_value_sorted(map);
+
+	for (guint i = 0; i < pairs->len; i++) {
+		const dws_pair_t *pair = pairs->pdata[i];
+
+		write_indent(out, indent, &on_dash_line);
+		write_text(out, pair->key);
+		g_string_append(out, is_short(pair->value) ? ": " : ":\n");
+		write_value(out, pair->value, indent + INDENT_STEP, false);
+	}
+	g_ptr_array_unref(pairs);
+}
+
+/* Appends the items of a list, behind a dash each. */
+static void write_list(GString *out, const dws_value_t *list, int indent,
+		       bool on_dash_line)
+{
+	for (guint i = 0; i < list->items->len; i++) {
+		write_indent(out, indent, &on_dash_line);
+		g_string_append(out, "- ");
+		write_value(out, list->items->pdata[i], indent + INDENT_STEP,
+			    true);
+	}
+}
+
+/* Appends a value; a block starts at the given indent. */
+static void write_value(GString *out, const dws_value_t *value, int indent,
+			bool on_dash_line)
+{
+	if (is_short(value))
+		write_short(out, value);
+	else if (value->type == DWS_VALUE_MAP)
+		write_map(out, value, indent, on_dash_line);
+	else
+		write_list(out, value, indent, on_dash_line);
+}
+
+/* The canonical text of a tree; the caller frees it with g_free(). */
+char *dws_document_canonical(const dws_value_t *value)
+{
+	GString *out = g_string_new(NULL);
+
+	write_value(out, value, 0, false);
+	return g_string_free(out, FALSE);
+}
--- /dev/null
+++ b/src/version/fields.c
@@ -0,0 +1,348 @@
+/*
+ * Typed reading of a document's keys.
+ */
+#include "version/fields.h"
+#include <arpa/inet.h>
+
+#define SHOWN_CHARACTERS 40
+#define NEAREST_MAX_DISTANCE 3
+
+/* The full path of a key; freed with g_free(). */
+static char *full_key(const dws_fields_t *fields, const char *key)
+{
+	return g_strconcat(fields->path, key, NULL);
+}
+
+/* The line of a key, or of its map if the key is absent. */
+static uint32_t key_line(const dws_fields_t *fields, const char *key)
+{
+	const dws_pair_t *pair = g_hash_table_lookup(fields->map->index, key);
+
+	return pair ? pair->line : fields->line;
+}
+
+/* Reports a fault of one key, at its line. */
+void dws_fields_fault(const dws_fields_t *fields, dws_error_t kind,
+		      const char *key, const char *format, ...)
+{
+	va_list arguments;
+	char *path = full_key(fields, key);
+
+	va_start(arguments, format);
+	char *fault = g_strdup_vprintf(format, arguments);
+
+	va_end(arguments);
+	dws_faults_add(fields->faults, kind, key_line(fields, key), path, "%s",
+		       fault);
+	g_free(fault);
+	g_free(path);
+}
+
+/* Starts to read a map; path ends in "." unless it is empty. */
+bool dws_fields_init(dws_fields_t *fields, dws_faults_t *faults,
+		     const dws_value_t *value, const char *path)
+{
+	*fields = (dws_fields_t){.faults = faults,
+				 .map = value,
+				 .path = path,
+				 .line = value->line};
+	if (value->type == DWS_VALUE_MAP)
+		return true;
+	size_t length = strlen(path);
+	char *key = length ? g_strndup(path, length - 1) : g_strdup("document");
+
+	dws_faults_add(faults, DWS_ERROR_VALUE, value->line, key,
+		       "is no map; write \"key: value\" lines");
+	g_free(key);
+	return false;
+}
+
+/* The smallest of three numbers. */
+static size_t least(size_t a, size_t b, size_t c)
+{
+	return MIN(MIN(a, b), c);
+}
+
+/*
+ * Edit distance of two texts (Levenshtein, 1966), by one row of the usual
+ * table; the second text is at most DWS_DOCUMENT_MAX_KEY_BYTES long.
+ */
+static size_t edit_distance(const char *first, const char *second)
+{
+	size_t row[DWS_DOCUMENT_MAX_KEY_BYTES + 1];
+	size_t length = strlen(second);
+
+	for (size_t j = 0; j <= length; j++)
+		row[j] = j;
+	for (size_t i = 1; first[i - 1]; i++) {
+		size_t diagonal = row[0];
+
+		row[0] = i;
+		for (size_t j = 1; j <= length; j++) {
+			size_t above = row[j];
+			size_t change = first[i - 1] != second[j - 1];
+
+			row[j] = least(row[j - 1] + 1, above + 1,
+				       diagonal + change);
+			diagonal = above;
+		}
+	}
+	return row[length];
+}
+
+/* Reports one unknown key, with the known key nearest to it. */
+static void report_unknown(const dws_fields_t *fields, const char *key,
+			   const char *const *keys, size_t count)
+{
+	const char *nearest = NULL;
+	size_t nearest_distance = NEAREST_MAX_DISTANCE + 1;
+
+	for (size_t i = 0; i < count; i++) {
+		size_t distance = edit_distance(key, keys[i]);
+
+		if (distance < nearest_distance) {
+			nearest = keys[i];
+			nearest_distance = distance;
+		}
+	}
+	if (nearest)
+		dws_fields_fault(fields, DWS_ERROR_UNKNOWN_KEY, key,
+				 "unknown key; did you mean \"%s\"?", nearest);
+	else
+		dws_fields_fault(fields, DWS_ERROR_UNKNOWN_KEY, key,
+				 "unknown key; remove it");
+}
+
+/* Reports each key of the map that is not among the known ones. */
+void dws_fields_known(const dws_fields_t *fields, const char *const *keys,
+		      size_t count)
+{
+	GPtrArray *pairs = dws_value_sorted(fields->map);
+
+	for (guint i = 0; i < pairs->len; i++) {
+		const dws_pair_t *pair = pairs->pdata[i];
+		bool known = false;
+
+		for (size_t k = 0; k < count && !known; k++)
+			known = !strcmp(pair->key, keys[k]);
+		if (!known)
+			report_unknown(fields, pair->key, keys, count);
+	}
+	g_ptr_array_unref(pairs);
+}
+
+/* The value of a key that is there and not null. */
+const dws_value_t *dws_fields_get(const dws_fields_t *fields, const char *key)
+{
+	const dws_value_t *value = dws_value_get(fields->map, key);
+
+	return value && !dws_value_is_null(value) ? value : NULL;
+}
+
+/* Tells whether a key is there; reports it if not. */
+bool dws_fields_require(const dws_fields_t *fields, const char *key)
+{
+	if (dws_fields_get(fields, key))
+		return true;
+	dws_fields_fault(fields, DWS_ERROR_VALUE, key,
+			 "is missing; add the key with its value");
+	return false;
+}
+
+/* The scalar of a key; reports a map or a list. NULL if there is none. */
+static const char *scalar_of(const dws_fields_t *fields, const char *key)
+{
+	const dws_value_t *value = dws_fields_get(fields, key);
+
+	if (!value)
+		return NULL;
+	if (value->type != DWS_VALUE_SCALAR)
+		dws_fields_fault(fields, DWS_ERROR_VALUE, key,
+				 "is a map or list; write one value");
+	return dws_value_text(value);
+}
+
+/* Reports a value that does not fit, showing its start. */
+static void report_value(const dws_fields_t *fields, const char *key,
+			 const char *text, const char *remedy)
+{
+	char *shown = g_utf8_strlen(text, -1) > SHOWN_CHARACTERS
+			      ? g_utf8_substring(text, 0, SHOWN_CHARACTERS)
+			      : g_strdup(text);
+	char *escaped = g_strescape(shown, NULL);
+
+	dws_fields_fault(fields, DWS_ERROR_VALUE, key,
+			 "\"%s\" does not fit; %s", escaped, remedy);
+	g_free(escaped);
+	g_free(shown);
+}
+
+/* Reads a whole decimal number between min and max. */
+bool dws_fields_number(const dws_fields_t *fields, const char *key,
+		       uint32_t min, uint32_t max, uint32_t *number)
+{
+	const char *text = scalar_of(fields, key);
+	char remedy[64];
+	guint64 parsed;
+
+	if (!text)
+		return false;
+	if (!g_ascii_string_to_unsigned(text, 10, min, max, &parsed, NULL)) {
+		g_snprintf(remedy, sizeof(remedy),
+			   "write a number from %u to %u", min, max);
+		report_value(fields, key, text, remedy);
+		return false;
+	}
+	*number = (uint32_t)parsed;
+	return true;
+}
+
+/* Reads "true" or "false". */
+bool dws_fields_bool(const dws_fields_t *fields, const char *key, bool *flag)
+{
+	const char *text = scalar_of(fields, key);
+
+	if (!text)
+		return false;
+	if (!g_str_equal(text, "true") && !g_str_equal(text, "false")) {
+		report_value(fields, key, text, "write true or false");
+		return false;
+	}
+	*flag = text[0] == 't';
+	return true;
+}
+
+/* Tells whether a text holds control characters. */
+static bool has_control(const char *text)
+{
+	for (const char *at = text; *at; at++) {
+		if (g_ascii_iscntrl(*at))
+			return true;
+	}
+	return false;
+}
+
+/* Reads a text that fits a buffer of the given size with its final zero. */
+bool dws_fields_text(const dws_fields_t *fields, const char *key, char *text,
+		     size_t size_bytes)
+{
+	const char *value = scalar_of(fields, key);
+	char remedy[64];
+
+	if (!value)
+		return false;
+	if (strlen(value) >= size_bytes || has_control(value)) {
+		g_snprintf(remedy, sizeof(remedy),
+			   "write at most %zu printable bytes", size_bytes - 1);
+		report_value(fields, key, value, remedy);
+		return false;
+	}
+	g_strlcpy(text, value, size_bytes);
+	return true;
+}
+
+/*
+ * Tells whether a text is a name: letters, digits, "-", "_" and ".", starting
+ * with a letter or digit, that fits size_bytes with its final zero.
+ */
+bool dws_is_name(const char *text, size_t size_bytes)
+{
+	if (!g_ascii_isalnum(text[0]) || strlen(text) >= size_bytes)
+		return false;
+	for (const char *at = text; *at; at++) {
+		if (!g_ascii_isalnum(*at) && !strchr("-_.", *at))
+			return false;
+	}
+	return true;
+}
+
+/* Reads a name. */
+bool dws_fields_name(const dws_fields_t *fields, const char *key, char *name,
+		     size_t size_bytes)
+{
+	const char *value = scalar_of(fields, key);
+
+	if (!value)
+		return false;
+	if (!dws_is_name(value, size_bytes)) {
+		report_value(fields, key, value,
+			     "write 1 to 63 letters, digits, -, _ or .");
+		return false;
+	}
+	g_strlcpy(name, value, size_bytes);
+	return true;
+}
+
+/* Splits "IP:PORT" at its last colon and takes the brackets off the IP. */
+static bool split_address(dws_address_t *address, const char *text,
+			  const char **port)
+{
+	const char *colon = strrchr(text, ':');
+
+	if (!colon)
+		return false;
+	*port = colon + 1;
+	size_t length = (size_t)(colon - text);
+
+	if (text[0] == '[' && length > 1 && colon[-1] == ']') {
+		text++;
+		length -= 2;
+	}
+	if (length >= sizeof(address->ip))
+		return false;
+	memcpy(address->ip, text, length);
+	address->ip[length] = '\0';
+	return true;
+}
+
+/*
+ * Reads "IP:PORT" with an IP number, never a host name; an IPv6 number stands
+ * in brackets. False leaves the address empty.
+ */
+bool dws_address_parse(dws_address_t *address, const char *text)
+{
+	unsigned char binary[sizeof(struct in6_addr)];
+	const char *port = NULL;
+	guint64 number = 0;
+
+	*address = (dws_address_t){.port = 0};
+	bool is_v6 = text[0] == '[';
+	bool ok = split_address(address, text, &port) &&
+		  inet_pton(is_v6 ? AF_INET6 : AF_INET, address->ip, binary) ==
+			  1 &&
+		  g_ascii_string_to_unsigned(port, 10, 1, UINT16_MAX, &number,
+					     NULL);
+
+	if (!ok) {
+		*address = (dws_address_t){.port = 0};
+		return false;
+	}
+	address->port = (uint16_t)number;
+	return true;
+}
+
+/* Tells whether only this machine can reach an address. */
+bool dws_address_is_loopback(const dws_address_t *address)
+{
+	return g_str_has_prefix(address->ip, "127.") ||
+	       !strcmp(address->ip, "::1");
+}
+
+/* Reads "IP:PORT". */
+bool dws_fields_address(const dws_fields_t *fields, const char *key,
+			dws_address_t *address)
+{
+	const char *text = scalar_of(fields, key);
+	dws_address_t parsed;
+
+	if (!text)
+		return false;
+	if (!dws_address_parse(&parsed, text)) {
+		report_value(fields, key, text,
+			     "write IP:PORT with an IP number, "
+			     "[IP]:PORT for IPv6");
+		return false;
+	}
+	*address = parsed;
+	return true;
+}
