--- /dev/null
+++ b/src/request/admission.c
@@ -0,0 +1,191 @@
+/*
+ * Admission: requests wait in the queue until the limit has room for them,
+ * and leave it unrun when too little of their time is left. The time that a
+ * request needs, its nested calls included, is estimated for each kind from
+ * the mean and the mean deviation of earlier ones (Jacobson, "Congestion
+ * Avoidance and Control", SIGCOMM 1988).
+ */
+#include <string.h>
+#include "request/admission.h"
+
+#define MEAN_GAIN 0.125
+#define DEVIATION_GAIN 0.25
+#define DEVIATIONS_ALLOWED 4.0
+
+/* A request may wait for this share of its time, whatever it needs. */
+#define LEAST_WAIT_SHARE 0.5
+
+/* Most kinds with an estimate; all are forgotten beyond that. */
+#define MAX_ESTIMATES 1024
+
+/* Expected time of one kind, from start to end. */
+typedef struct dws_estimate {
+	double mean_us;
+	double deviation_us;
+} dws_estimate_t;
+
+typedef struct dws_running {
+	uint64_t id;
+	int64_t started_us;
+	uint32_t kind;
+	uint32_t running; /* when it started, itself included */
+} dws_running_t;
+
+/*
+ * Sets up admission on memory of the caller. Policies are those of the
+ * limit; an unknown one counts as "adaptive", as settings are checked before.
+ */
+void dws_admission_init(dws_admission_t *admission, const char *policy,
+			uint32_t slots, uint32_t queue_capacity)
+{
+	memset(admission, 0, sizeof(*admission));
+	if (!dws_limit_init(&admission->limit, policy, slots))
+		dws_limit_init(&admission->limit, "adaptive", slots);
+	admission->unlimited = strcmp(policy, "none") == 0;
+	admission->queue = dws_queue_new(admission->unlimited ? UINT32_MAX
+							      : queue_capacity);
+	admission->running = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						   NULL, g_free);
+	admission->estimates = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+}
+
+/* Frees the queue and all state. */
+void dws_admission_finish(dws_admission_t *admission)
+{
+	dws_queue_free(admission->queue);
+	g_hash_table_destroy(admission->running);
+	g_hash_table_destroy(admission->estimates);
+	memset(admission, 0, sizeof(*admission));
+}
+
+/* The time to set aside for running an item, in us; 0 if none is known. */
+static int64_t needed_us(const dws_admission_t *admission, int64_t now_us,
+			 const dws_queue_item_t *item)
+{
+	const dws_estimate_t *estimate = g_hash_table_lookup(
+		admission->estimates, GUINT_TO_POINTER(item->kind));
+	double left_us = (double)(item->deadline_us - now_us);
+	double needed;
+
+	if (!estimate)
+		return 0;
+	needed =
+		estimate->mean_us + DEVIATIONS_ALLOWED * estimate->deviation_us;
+	return (int64_t)MIN(needed, left_us * (1.0 - LEAST_WAIT_SHARE));
+}
+
+/*
+ * Queues a request. It is refused as too late only if its deadline has
+ * passed: a short deadline has to stay admissible, or a kind whose estimate
+ * has become too high could never lower it.
+ */
+bool dws_admission_offer(dws_admission_t *admission, int64_t now_us,
+			 const dws_queue_item_t *item, uint64_t *displaced)
+{
+	dws_queue_item_t queued = *item;
+
+	*displaced = 0;
+	if (!admission->unlimited && item->deadline_us <= now_us)
+		return false;
+	queued.needed_us = needed_us(admission, now_us, item);
+	return dws_queue_push(admission->queue, &queued, displaced);
+}
+
+/* Starts the next request if the limit has room; copies it out. */
+bool dws_admission_start(dws_admission_t *admission, int64_t now_us,
+			 dws_queue_item_t *item)
+{
+	uint32_t running = g_hash_table_size(admission->running);
+	dws_running_t *state;
+
+	if (running >= dws_limit_current(&admission->limit))
+		return false;
+	if (!dws_queue_pop(admission->queue, item))
+		return false;
+	state = g_new0(dws_running_t, 1);
+	state->id = item->id;
+	state->started_us = now_us;
+	state->kind = item->kind;
+	state->running = running + 1;
+	g_hash_table_replace(admission->running, &state->id, state);
+	return true;
+}
+
+/*
+ * Takes a queued request of which too little time is left. The policy "none"
+ * refuses nothing.
+ */
+bool dws_admission_expire(dws_admission_t *admission, int64_t now_us,
+			  dws_queue_item_t *item)
+{
+	if (admission->unlimited)
+		return false;
+	return dws_queue_expire(admission->queue, now_us, item);
+}
+
+/* Takes the time of a whole request into the estimate of its kind. */
+static void update_estimate(dws_admission_t *admission, uint32_t kind,
+			    double time_us)
+{
+	gpointer key = GUINT_TO_POINTER(kind);
+	dws_estimate_t *estimate =
+		g_hash_table_lookup(admission->estimates, key);
+	double error_us;
+
+	if (!estimate) {
+		if (g_hash_table_size(admission->estimates) >= MAX_ESTIMATES)
+			g_hash_table_remove_all(admission->estimates);
+		estimate = g_new0(dws_estimate_t, 1);
+		estimate->mean_us = time_us;
+		estimate->deviation_us = time_us / 2;
+		g_hash_table_insert(admission->estimates, key, estimate);
+		return;
+	}
+	error_us = time_us - estimate->mean_us;
+	estimate->mean_us += MEAN_GAIN * error_us;
+	estimate->deviation_us +=
+		DEVIATION_GAIN * (ABS(error_us) - estimate->deviation_us);
+}
+
+/* Ends a running request; an id that does not run is ignored. */
+void dws_admission_end(dws_admission_t *admission, int64_t now_us, uint64_t id,
+		       int64_t own_time_us, bool overloaded)
+{
+	const dws_running_t *state =
+		g_hash_table_lookup(admission->running, &id);
+	dws_limit_sample_t sample;
+
+	if (!state)
+		return;
+	sample.own_time_us = own_time_us;
+	sample.running = state->running;
+	sample.overloaded = overloaded;
+	dws_limit_sample(&admission->limit, now_us, &sample);
+	if (!overloaded)
+		update_estimate(admission, state->kind,
+				(double)(now_us - state->started_us));
+	g_hash_table_remove(admission->running, &id);
+}
+
+/* Removes a queued request; false if it is not queued. */
+bool dws_admission_cancel(dws_admission_t *admission, uint64_t id)
+{
+	return dws_queue_remove(admission->queue, id);
+}
+
+/* Describes the load for peers. */
+void dws_admission_load(const dws_admission_t *admission, dws_load_t *load)
+{
+	load->threshold = dws_queue_threshold(admission->queue);
+	load->running = g_hash_table_size(admission->running);
+	load->queued = dws_queue_length(admission->queue);
+	load->limit = dws_limit_current(&admission->limit);
+}
+
+/* When a queued request runs out of time next, in us, or DWS_NEVER_US. */
+int64_t dws_admission_wake_us(const dws_admission_t *admission)
+{
+	if (admission->unlimited)
+		return DWS_NEVER_US;
+	return dws_queue_next_deadline_us(admission->queue);
+}
--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -11,7 +11,7 @@
 	dws_limit_t limit;
 	dws_queue_t *queue;
 	GHashTable *running; /* id to its state */
-	double service_us; /* expected own time of a request */
+	GHashTable *estimates; /* kind to its expected time */
 	bool unlimited; /* policy "none": no queue and no refusal */
 } dws_admission_t;
 
@@ -34,7 +34,10 @@
  */
 bool dws_admission_offer(dws_admission_t *admission, int64_t now_us,
 			 const dws_queue_item_t *item, uint64_t *displaced);
-/* Takes the next request that may start; call until it returns false. */
+/*
+ * Takes the next request that may start; call until it returns false, and
+ * dws_admission_expire() before it.
+ */
 bool dws_admission_start(dws_admission_t *admission, int64_t now_us,
 			 dws_queue_item_t *item);
 /* Takes a queued request that can't end in time; until it returns false. */
--- a/src/request/limit.h
+++ b/src/request/limit.h
@@ -24,16 +24,34 @@
 		       const dws_limit_sample_t *sample);
 } dws_limit_ops_t;
 
+/* What happened since the last decision of an adaptive limit. */
+typedef struct dws_limit_window {
+	int64_t start_us;
+	uint32_t samples;
+	uint32_t overloads;
+	uint32_t peak_running;
+} dws_limit_window_t;
+
+/* A halved limit, to learn whether the own time depends on it. */
+typedef struct dws_limit_trial {
+	bool active;
+	int64_t settled_us; /* earlier samples started before it */
+	double value_before; /* the limit before the first trial in a row */
+	double time_before_us;
+	double sum_us;
+	uint32_t samples;
+} dws_limit_trial_t;
+
 struct dws_limit {
 	const dws_limit_ops_t *ops;
 	uint32_t slots;
 	double value; /* adaptive */
-	double fastest_us; /* adaptive: long-term least own time */
-	double recent_us; /* adaptive: short-term average */
-	int64_t window_start_us;
-	uint32_t window_samples;
-	uint32_t window_overloads;
-	double window_least_us;
+	double doubling_below; /* grows by doubling up to here */
+	double fastest_us; /* long-term least of the average own time */
+	double recent_us; /* moving average of the own time */
+	uint32_t recent_samples; /* in it, up to its length */
+	dws_limit_window_t window;
+	dws_limit_trial_t trial;
 };
 
 /*
--- a/src/request/queue.h
+++ b/src/request/queue.h
@@ -17,6 +17,7 @@
 	uint32_t worth; /* at least 1 */
 	int64_t enqueued_us;
 	int64_t deadline_us;
+	int64_t needed_us; /* to run it; admission fills it in */
 } dws_queue_item_t;
 
 typedef struct dws_queue dws_queue_t;
@@ -34,14 +35,17 @@
 bool dws_queue_pop(dws_queue_t *queue, dws_queue_item_t *item);
 /* Looks at the same item without taking it. */
 bool dws_queue_peek(const dws_queue_t *queue, dws_queue_item_t *item);
-/* Takes one item whose deadline is at or before the given time. */
+/*
+ * Takes one item whose latest start, the deadline less the time needed, is
+ * at or before the given time.
+ */
 bool dws_queue_expire(dws_queue_t *queue, int64_t until_us,
 		      dws_queue_item_t *item);
 bool dws_queue_remove(dws_queue_t *queue, uint64_t id);
 uint32_t dws_queue_length(const dws_queue_t *queue);
-/* Earliest deadline, or DWS_NEVER_US. */
+/* Earliest of the latest starts, or DWS_NEVER_US. */
 int64_t dws_queue_next_deadline_us(const dws_queue_t *queue);
-/* The lowest priority that a push would accept now. */
+/* The lowest priority of which a push may be accepted now. */
 uint8_t dws_queue_threshold(const dws_queue_t *queue);
 
 #endif
