Add membership by probes and the choice of a member for a call

Cause: a process has to know which others there are, without a shared store and while the platform's list lags, and has to choose one for each call. The membership header gains a generation number, so that routing can keep the members of a service until the membership changes.

--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -4,6 +4,9 @@
  * process pings one member and passes on a few recent changes, so the cost
  * does not grow with the fleet (SWIM: Das, Gupta, Motivala, 2002). Numbers of
  * the configuration and of the VM list ride along.
+ *
+ * Pointers to members are valid until the next call that takes a membership
+ * that is not const.
  */
 #ifndef DWS_PROCESS_MEMBERSHIP_H
 #define DWS_PROCESS_MEMBERSHIP_H
@@ -111,6 +114,11 @@
 const dws_member_t *dws_membership_self(const dws_membership_t *membership);
 /* Borrowed array of dws_member_t *, in no order, self included. */
 const GPtrArray *dws_membership_all(const dws_membership_t *membership);
+/*
+ * Goes up whenever a member appears, goes, or changes in state, epoch or
+ * address; for caches of what this module says.
+ */
+uint64_t dws_membership_generation(const dws_membership_t *membership);
 /* A random live peer, of the own zone if there is one; NULL if alone. */
 const dws_member_t *dws_membership_random_peer(dws_membership_t *membership);
 
--- /dev/null
+++ b/src/process/membership_list.c
@@ -0,0 +1,346 @@
+/*
+ * Reads the platform's list of VMs. Keys that this version does not know are
+ * passed over, so that the platform may add some.
+ */
+#include "process/membership_table.h"
+
+#include <string.h>
+#include <yaml.h>
+
+#define MAX_LIST_BYTES (1024 * 1024)
+
+typedef struct vm {
+	dws_member_t member; /* without epoch and incarnation */
+	bool leaving;
+} vm_t;
+
+typedef struct vm_list {
+	uint64_t revision;
+	GArray *vms; /* vm_t */
+} vm_list_t;
+
+/* Sets an error that names the line, the key and the fault. */
+static bool fail(GError **error, dws_error_t kind, const yaml_node_t *node,
+		 const char *key, const char *fault)
+{
+	unsigned long line =
+		node ? (unsigned long)node->start_mark.line + 1 : 1;
+
+	g_set_error(error, DWS_ERROR, (gint)kind,
+		    "VM list:%lu: %s: %s; publish a corrected list", line, key,
+		    fault);
+	return false;
+}
+
+/* Finds the scalar text of a key of a mapping; NULL if there is none. */
+static const char *find_text(yaml_document_t *document, const yaml_node_t *map,
+			     const char *key, yaml_node_t **value)
+{
+	yaml_node_pair_t *pair = map->data.mapping.pairs.start;
+
+	for (; pair < map->data.mapping.pairs.top; pair++) {
+		yaml_node_t *name = yaml_document_get_node(document, pair->key);
+
+		if (name->type != YAML_SCALAR_NODE ||
+		    strcmp((char *)name->data.scalar.value, key) != 0)
+			continue;
+		*value = yaml_document_get_node(document, pair->value);
+		if ((*value)->type == YAML_SCALAR_NODE)
+			return (char *)(*value)->data.scalar.value;
+		return NULL;
+	}
+	return NULL;
+}
+
+/* Copies an identifier of a VM; false with an error if it is unusable. */
+static bool read_id(yaml_document_t *document, const yaml_node_t *map,
+		    const char *key, bool may_be_empty, char *to,
+		    GError **error)
+{
+	yaml_node_t *value = NULL;
+	const char *text = find_text(document, map, key, &value);
+
+	if (!text && may_be_empty && !value)
+		return true;
+	if (!text || (!*text && !may_be_empty))
+		return fail(error, DWS_ERROR_VALUE, map, key, "missing");
+	if (strlen(text) >= DWS_ID_SIZE)
+		return fail(error, DWS_ERROR_VALUE, value, key,
+			    "longer than 63 characters");
+	for (const char *at = text; *at; at++) {
+		if (!g_ascii_isgraph(*at))
+			return fail(error, DWS_ERROR_VALUE, value, key,
+				    "not printable ASCII without spaces");
+	}
+	g_strlcpy(to, text, DWS_ID_SIZE);
+	return true;
+}
+
+/* Reads an unsigned number inside bounds. */
+static bool read_number(yaml_document_t *document, const yaml_node_t *map,
+			const char *key, uint64_t least, uint64_t most,
+			uint64_t *number, GError **error)
+{
+	yaml_node_t *value = NULL;
+	const char *text = find_text(document, map, key, &value);
+	guint64 parsed = 0;
+
+	if (!text ||
+	    !g_ascii_string_to_unsigned(text, 10, least, most, &parsed, NULL))
+		return fail(error, DWS_ERROR_VALUE, value ? value : map, key,
+			    "missing, no number or out of range");
+	*number = parsed;
+	return true;
+}
+
+/* Reads the IP number and both ports of a VM. */
+static bool read_addresses(yaml_document_t *document, const yaml_node_t *map,
+			   dws_member_t *member, GError **error)
+{
+	yaml_node_t *value = NULL;
+	const char *ip = find_text(document, map, "ip", &value);
+	uint64_t port = 0;
+
+	if (!ip || strlen(ip) >= sizeof(member->frame.ip) ||
+	    !g_hostname_is_ip_address(ip))
+		return fail(error, DWS_ERROR_VALUE, value ? value : map, "ip",
+			    "missing or no IP number");
+	g_strlcpy(member->frame.ip, ip, sizeof(member->frame.ip));
+	g_strlcpy(member->datagram.ip, ip, sizeof(member->datagram.ip));
+	if (!read_number(document, map, "frame_port", 1, UINT16_MAX, &port,
+			 error))
+		return false;
+	member->frame.port = (uint16_t)port;
+	if (!read_number(document, map, "datagram_port", 1, UINT16_MAX, &port,
+			 error))
+		return false;
+	member->datagram.port = (uint16_t)port;
+	return true;
+}
+
+/* Reads one VM. */
+static bool read_vm(yaml_document_t *document, const yaml_node_t *map, vm_t *vm,
+		    GError **error)
+{
+	dws_member_t *member = &vm->member;
+	yaml_node_t *value = NULL;
+
+	if (map->type != YAML_MAPPING_NODE)
+		return fail(error, DWS_ERROR_VALUE, map, "vms", "no mapping");
+	if (!read_id(document, map, "id", false, member->vm_id, error) ||
+	    !read_id(document, map, "zone", false, member->zone, error) ||
+	    !read_id(document, map, "region", true, member->region, error) ||
+	    !read_id(document, map, "service", true, member->service, error) ||
+	    !read_addresses(document, map, member, error))
+		return false;
+	const char *state = find_text(document, map, "state", &value);
+
+	if (g_strcmp0(state, "live") != 0 && g_strcmp0(state, "leaving") != 0)
+		return fail(error, DWS_ERROR_VALUE, value ? value : map,
+			    "state", "neither live nor leaving");
+	vm->leaving = strcmp(state, "leaving") == 0;
+	return true;
+}
+
+/* Reads the sequence of VMs; no two may have one id. */
+static bool read_vms(yaml_document_t *document, const yaml_node_t *sequence,
+		     GArray *vms, GError **error)
+{
+	yaml_node_item_t *item = sequence->data.sequence.items.start;
+	bool ok = true;
+
+	if (sequence->data.sequence.items.top - item >
+	    DWS_MEMBERSHIP_MAX_MEMBERS - 1)
+		return fail(error, DWS_ERROR_TOO_LARGE, sequence, "vms",
+			    "more VMs than the table of members holds");
+	GHashTable *ids =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+
+	for (; ok && item < sequence->data.sequence.items.top; item++) {
+		yaml_node_t *map = yaml_document_get_node(document, *item);
+		vm_t vm = {0};
+
+		ok = read_vm(document, map, &vm, error);
+		if (ok && !g_hash_table_add(ids, g_strdup(vm.member.vm_id)))
+			ok = fail(error, DWS_ERROR_CONFLICT, map, "id",
+				  "listed twice");
+		if (ok)
+			g_array_append_val(vms, vm);
+	}
+	g_hash_table_destroy(ids);
+	return ok;
+}
+
+/* Finds the sequence under "vms"; NULL if there is none. */
+static yaml_node_t *find_vms(yaml_document_t *document, const yaml_node_t *root)
+{
+	yaml_node_t *value = NULL;
+
+	find_text(document, root, "vms", &value);
+	if (!value || value->type != YAML_SEQUENCE_NODE)
+		return NULL;
+	return value;
+}
+
+/* Reads a loaded document. */
+static bool read_document(yaml_document_t *document, vm_list_t *list,
+			  GError **error)
+{
+	yaml_node_t *root = yaml_document_get_root_node(document);
+
+	if (!root || root->type != YAML_MAPPING_NODE)
+		return fail(error, DWS_ERROR_SYNTAX, root, "document",
+			    "no mapping");
+	if (!read_number(document, root, "revision", 1, INT64_MAX,
+			 &list->revision, error))
+		return false;
+	yaml_node_t *vms = find_vms(document, root);
+
+	if (!vms)
+		return fail(error, DWS_ERROR_VALUE, root, "vms",
+			    "missing or no sequence");
+	return read_vms(document, vms, list->vms, error);
+}
+
+/* Loads the YAML text; false with an error that names the line. */
+static bool load_document(yaml_document_t *document, const char *text,
+			  size_t size_bytes, GError **error)
+{
+	yaml_parser_t parser;
+
+	if (!yaml_parser_initialize(&parser))
+		return fail(error, DWS_ERROR_SYSTEM, NULL, "document",
+			    "no memory for the parser");
+	yaml_parser_set_input_string(&parser, (const unsigned char *)text,
+				     size_bytes);
+	bool ok = yaml_parser_load(&parser, document) != 0;
+
+	if (!ok)
+		g_set_error(error, DWS_ERROR, DWS_ERROR_SYNTAX,
+			    "VM list:%lu: %s; publish a corrected list",
+			    (unsigned long)parser.problem_mark.line + 1,
+			    parser.problem ? parser.problem : "no YAML");
+	yaml_parser_delete(&parser);
+	return ok;
+}
+
+/* Frees what a list owns. */
+static void clear_list(vm_list_t *list)
+{
+	if (list->vms)
+		g_array_free(list->vms, TRUE);
+	list->vms = NULL;
+}
+
+/* Parses and checks a list; freed by clear_list() if it is true. */
+static bool parse_list(vm_list_t *list, const char *text, size_t size_bytes,
+		       GError **error)
+{
+	yaml_document_t document;
+
+	memset(list, 0, sizeof(*list));
+	if (size_bytes > MAX_LIST_BYTES)
+		return fail(error, DWS_ERROR_TOO_LARGE, NULL, "document",
+			    "larger than 1 MB");
+	if (!load_document(&document, text, size_bytes, error))
+		return false;
+	list->vms = g_array_new(FALSE, TRUE, sizeof(vm_t));
+	bool ok = read_document(&document, list, error);
+
+	yaml_document_delete(&document);
+	if (!ok)
+		clear_list(list);
+	return ok;
+}
+
+/* Takes what the list says of one VM. */
+static void take_vm(dws_membership_t *membership, vm_t *vm)
+{
+	dws_membership_entry_t *entry =
+		dws_membership_table_find(membership, vm->member.vm_id);
+	bool moved = entry == NULL;
+
+	if (moved)
+		entry = dws_membership_table_add(membership, vm->member.vm_id);
+	if (!entry)
+		return;
+	dws_member_t *member = &entry->member;
+
+	/* The word of a member on its own place outweighs the list's. */
+	if (entry != membership->self &&
+	    (member->epoch == 0 || entry->claimed == DWS_MEMBER_DEAD)) {
+		vm->member.epoch = member->epoch;
+		moved |= dws_membership_table_has_moved(member, &vm->member);
+		dws_membership_table_copy_place(member, &vm->member);
+	}
+	member->listed = true;
+	if (vm->leaving && !entry->listed_leaving)
+		entry->leaving_epoch = member->epoch;
+	entry->listed_leaving = vm->leaving;
+	dws_membership_table_refresh(membership, entry, moved);
+}
+
+/* Takes the mark of the list off all, before a new list sets it again. */
+static void unlist_all(dws_membership_t *membership, const vm_list_t *list)
+{
+	GHashTable *ids = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; i < list->vms->len; i++)
+		g_hash_table_add(
+			ids, g_array_index(list->vms, vm_t, i).member.vm_id);
+	for (guint i = membership->all->len; i > 0; i--) {
+		dws_membership_entry_t *entry = membership->all->pdata[i - 1];
+
+		if (g_hash_table_contains(ids, entry->member.vm_id))
+			continue;
+		entry->member.listed = false;
+		entry->listed_leaving = false;
+		if (entry->member.epoch == 0)
+			dws_membership_table_remove(membership, entry);
+		else
+			dws_membership_table_refresh(membership, entry, false);
+	}
+	g_hash_table_destroy(ids);
+}
+
+/*
+ * Takes a list with a revision above the known one; others are ignored.
+ * False with an error if the text is malformed; nothing is taken then.
+ */
+bool dws_membership_offer_list(dws_membership_t *membership, int64_t now_us,
+			       const char *text, size_t size_bytes,
+			       GError **error)
+{
+	vm_list_t list;
+
+	if (!parse_list(&list, text, size_bytes, error))
+		return false;
+	dws_membership_table_advance(membership, now_us);
+	if (list.revision > membership->revision) {
+		membership->revision = list.revision;
+		if (membership->list)
+			g_bytes_unref(membership->list);
+		membership->list = g_bytes_new(text, size_bytes);
+		unlist_all(membership, &list);
+		for (guint i = 0; i < list.vms->len; i++)
+			take_vm(membership, &g_array_index(list.vms, vm_t, i));
+	}
+	clear_list(&list);
+	return true;
+}
+
+/* The revision of the latest list; 0 before the first. */
+uint64_t dws_membership_revision(const dws_membership_t *membership)
+{
+	return membership->revision;
+}
+
+/* The text of the latest list, borrowed; NULL before the first. */
+const char *dws_membership_list_text(const dws_membership_t *membership,
+				     size_t *size_bytes)
+{
+	*size_bytes = 0;
+	if (!membership->list)
+		return NULL;
+	return g_bytes_get_data(membership->list, size_bytes);
+}
--- /dev/null
+++ b/src/process/routing.c
@@ -0,0 +1,471 @@
+/*
+ * Routing of calls. Of the members of a service, those of the own zone go
+ * first, then those of the own region, then the others. Inside such a ring
+ * the less loaded of two random members is taken (Mitzenmacher, 2001), which
+ * keeps reports that lag from sending everybody to one place.
+ */
+#include "process/routing.h"
+
+#include <string.h>
+
+#define RINGS 3
+/* For how long the advice of a busy member is believed. */
+#define ADVICE_FRESH_US (200 * DWS_US_PER_MS)
+/* For how long the report of a load counts in a comparison. */
+#define LOAD_FRESH_US (1 * DWS_US_PER_S)
+/* A call that tests a doubtful member keeps others off it for so long. */
+#define TRIAL_US (200 * DWS_US_PER_MS)
+#define BACKOFF_LEAST_US (50 * DWS_US_PER_MS)
+#define BACKOFF_MOST_US (5 * DWS_US_PER_S)
+#define UNKNOWN_LIMIT 4
+#define MOST_LIMIT 1024
+
+/* What is known of one member, beside its membership. */
+typedef struct peer {
+	uint64_t epoch; /* of the process that the rest is about */
+	uint32_t outstanding;
+	bool has_load;
+	dws_load_t load;
+	int64_t load_us;
+	bool has_trial;
+	int64_t trial_us;
+	uint32_t failures; /* in a row */
+	int64_t avoid_until_us; /* if there are failures */
+} peer_t;
+
+/* A member of a service that may be taken. */
+typedef struct candidate {
+	const dws_member_t *member;
+	peer_t *peer;
+} candidate_t;
+
+/* The members of one service, by ring. */
+typedef struct service_members {
+	GArray *rings[RINGS]; /* candidate_t */
+} service_members_t;
+
+struct dws_routing {
+	dws_membership_t *membership;
+	GRand *random;
+	GHashTable *peers; /* vm id to peer_t */
+	GHashTable *services; /* name to service_members_t */
+	uint64_t generation; /* of the membership, for services */
+};
+
+/* How a candidate stands with a call. */
+typedef enum standing {
+	STANDING_GOOD,
+	STANDING_BUSY, /* admits only more urgent work */
+	STANDING_DOUBTFUL, /* only as a last resort */
+} standing_t;
+
+/* A choice among members of equal rank. */
+typedef struct choice {
+	guint seen;
+	const candidate_t *first;
+	const candidate_t *second;
+} choice_t;
+
+/* Frees the members of a service. */
+static void free_service(gpointer data)
+{
+	service_members_t *service = data;
+
+	for (int ring = 0; ring < RINGS; ring++)
+		g_array_free(service->rings[ring], TRUE);
+	g_free(service);
+}
+
+/* Starts a routing over a membership, which must outlive it. */
+dws_routing_t *dws_routing_new(dws_membership_t *membership, uint64_t seed)
+{
+	dws_routing_t *routing = g_new0(dws_routing_t, 1);
+
+	routing->membership = membership;
+	routing->random = g_rand_new_with_seed((guint32)(seed ^ seed >> 32));
+	routing->peers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	routing->services = g_hash_table_new_full(g_str_hash, g_str_equal,
+						  g_free, free_service);
+	routing->generation = UINT64_MAX;
+	return routing;
+}
+
+/* Frees a routing. */
+void dws_routing_free(dws_routing_t *routing)
+{
+	if (!routing)
+		return;
+	g_hash_table_destroy(routing->services);
+	g_hash_table_destroy(routing->peers);
+	g_rand_free(routing->random);
+	g_free(routing);
+}
+
+/* What is known of a member; made if there is nothing yet. */
+static peer_t *get_peer(dws_routing_t *routing, const char *vm_id)
+{
+	peer_t *peer = g_hash_table_lookup(routing->peers, vm_id);
+
+	if (peer)
+		return peer;
+	peer = g_new0(peer_t, 1);
+	g_hash_table_insert(routing->peers, g_strdup(vm_id), peer);
+	return peer;
+}
+
+/* Forgets what a former process of the VM id said and did. */
+static void follow_epoch(peer_t *peer, const dws_member_t *member)
+{
+	if (peer->epoch == member->epoch)
+		return;
+	if (peer->epoch != 0) {
+		peer->has_load = false;
+		peer->has_trial = false;
+		peer->failures = 0;
+	}
+	peer->epoch = member->epoch;
+}
+
+/* The ring of a member: 0 own zone, 1 own region, 2 elsewhere. */
+static int ring_of(const dws_member_t *self, const dws_member_t *member)
+{
+	if (strcmp(self->zone, member->zone) == 0)
+		return 0;
+	return strcmp(self->region, member->region) == 0 ? 1 : 2;
+}
+
+/* True if nobody may ask for what is known of a VM id any more. */
+static gboolean is_unused(gpointer key, gpointer value, gpointer data)
+{
+	const dws_routing_t *routing = data;
+	const peer_t *peer = value;
+
+	return peer->outstanding == 0 &&
+	       !dws_membership_find(routing->membership, key);
+}
+
+/* Drops what was worked out from an earlier state of the membership. */
+static void follow_membership(dws_routing_t *routing)
+{
+	uint64_t generation = dws_membership_generation(routing->membership);
+
+	if (generation == routing->generation)
+		return;
+	routing->generation = generation;
+	g_hash_table_remove_all(routing->services);
+	if (g_hash_table_size(routing->peers) >
+	    dws_membership_all(routing->membership)->len)
+		g_hash_table_foreach_remove(routing->peers, is_unused, routing);
+}
+
+/* Collects the members of a service that may be taken. */
+static service_members_t *collect_service(dws_routing_t *routing,
+					  const char *name)
+{
+	const dws_member_t *self = dws_membership_self(routing->membership);
+	const GPtrArray *all = dws_membership_all(routing->membership);
+	service_members_t *service = g_new0(service_members_t, 1);
+
+	for (int ring = 0; ring < RINGS; ring++)
+		service->rings[ring] =
+			g_array_new(FALSE, FALSE, sizeof(candidate_t));
+	for (guint i = 0; i < all->len; i++) {
+		const dws_member_t *member = all->pdata[i];
+
+		if (member->state != DWS_MEMBER_ALIVE &&
+		    member->state != DWS_MEMBER_SUSPECT)
+			continue;
+		if (strcmp(member->service, name) != 0)
+			continue;
+		candidate_t candidate = {member,
+					 get_peer(routing, member->vm_id)};
+
+		follow_epoch(candidate.peer, member);
+		g_array_append_val(service->rings[ring_of(self, member)],
+				   candidate);
+	}
+	return service;
+}
+
+/* The members of a service; empty rings for a service of nobody. */
+static const service_members_t *find_service(dws_routing_t *routing,
+					     const char *name)
+{
+	follow_membership(routing);
+	service_members_t *service =
+		g_hash_table_lookup(routing->services, name);
+
+	if (service)
+		return service;
+	service = collect_service(routing, name);
+	g_hash_table_insert(routing->services, g_strdup(name), service);
+	return service;
+}
+
+/* True while a call that tests the member is out. */
+static bool is_on_trial(const peer_t *peer, int64_t now_us)
+{
+	return peer->has_trial && now_us - peer->trial_us < TRIAL_US;
+}
+
+/* True if the member said lately that it refuses such a priority. */
+static bool is_busy(const peer_t *peer, int64_t now_us, uint8_t priority)
+{
+	if (!peer->has_load || peer->load.threshold <= priority)
+		return false;
+	return now_us - peer->load_us < ADVICE_FRESH_US ||
+	       is_on_trial(peer, now_us);
+}
+
+/* True while the member is avoided for answers that were lost. */
+static bool is_avoided(const peer_t *peer, int64_t now_us)
+{
+	return peer->failures > 0 &&
+	       (now_us < peer->avoid_until_us || is_on_trial(peer, now_us));
+}
+
+/* True if a list of VM ids holds one. */
+static bool is_excluded(const GPtrArray *excluded, const char *vm_id)
+{
+	for (guint i = 0; excluded && i < excluded->len; i++) {
+		if (strcmp(excluded->pdata[i], vm_id) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* How far a member is from being taken; 0 if nothing speaks against it. */
+static guint doubt_of(const candidate_t *candidate, int64_t now_us,
+		      const GPtrArray *excluded)
+{
+	guint doubt = is_avoided(candidate->peer, now_us) ? 1 : 0;
+
+	if (candidate->member->state == DWS_MEMBER_SUSPECT)
+		doubt += 2;
+	if (is_excluded(excluded, candidate->member->vm_id))
+		doubt += 4;
+	return doubt;
+}
+
+/* How a candidate stands with a call of a priority. */
+static standing_t standing_of(const candidate_t *candidate, int64_t now_us,
+			      uint8_t priority, const GPtrArray *excluded)
+{
+	if (candidate->member->state == DWS_MEMBER_ALIVE &&
+	    !is_avoided(candidate->peer, now_us) &&
+	    is_busy(candidate->peer, now_us, priority))
+		return STANDING_BUSY;
+	return doubt_of(candidate, now_us, excluded) == 0 ? STANDING_GOOD
+							  : STANDING_DOUBTFUL;
+}
+
+/* Adds a candidate to a fair choice of two (reservoir sampling). */
+static void choose(dws_routing_t *routing, choice_t *choice,
+		   const candidate_t *candidate)
+{
+	gint32 at = (gint32)choice->seen++;
+
+	if (at >= 2)
+		at = g_rand_int_range(routing->random, 0, at + 1);
+	if (at == 0)
+		choice->first = candidate;
+	if (at == 1)
+		choice->second = candidate;
+}
+
+/* Load of a member in parts of its limit. */
+static double load_of(const peer_t *peer, int64_t now_us)
+{
+	double work = peer->outstanding;
+	uint32_t limit = UNKNOWN_LIMIT;
+
+	if (peer->has_load) {
+		limit = CLAMP(peer->load.limit, 1, MOST_LIMIT);
+		if (now_us - peer->load_us < LOAD_FRESH_US)
+			work += (double)peer->load.running +
+				(double)peer->load.queued;
+	}
+	return work / limit;
+}
+
+/* The less loaded member of a choice. */
+static const candidate_t *less_loaded(const choice_t *choice, int64_t now_us)
+{
+	if (!choice->second || load_of(choice->first->peer, now_us) <=
+				       load_of(choice->second->peer, now_us))
+		return choice->first;
+	return choice->second;
+}
+
+/* The member that may be taken if none is good: the least doubtful. */
+static const candidate_t *last_resort(dws_routing_t *routing,
+				      const service_members_t *service,
+				      int64_t now_us, const GPtrArray *excluded)
+{
+	choice_t choice = {0};
+	guint least = G_MAXUINT;
+
+	for (int ring = 0; ring < RINGS; ring++) {
+		for (guint i = 0; i < service->rings[ring]->len; i++) {
+			const candidate_t *candidate = &g_array_index(
+				service->rings[ring], candidate_t, i);
+			guint doubt =
+				doubt_of(candidate, now_us, excluded) * RINGS +
+				(guint)ring;
+
+			if (doubt > least)
+				continue;
+			if (doubt < least)
+				choice = (choice_t){0};
+			least = doubt;
+			choose(routing, &choice, candidate);
+		}
+	}
+	return choice.seen ? less_loaded(&choice, now_us) : NULL;
+}
+
+/* Notes that a call is going to test a member that was busy or silent. */
+static void note_trial(peer_t *peer, int64_t now_us, uint8_t priority)
+{
+	if (peer->failures == 0 &&
+	    !(peer->has_load && peer->load.threshold > priority))
+		return;
+	peer->has_trial = true;
+	peer->trial_us = now_us;
+}
+
+/* Picks a member for a call; see the header. */
+dws_route_result_t dws_routing_pick(dws_routing_t *routing, int64_t now_us,
+				    const char *service, uint8_t priority,
+				    const GPtrArray *excluded,
+				    const dws_member_t **member)
+{
+	const service_members_t *members = find_service(routing, service);
+	const candidate_t *chosen = NULL;
+	bool any_busy = false;
+
+	*member = NULL;
+	for (int ring = 0; ring < RINGS && !chosen; ring++) {
+		choice_t choice = {0};
+
+		for (guint i = 0; i < members->rings[ring]->len; i++) {
+			const candidate_t *candidate = &g_array_index(
+				members->rings[ring], candidate_t, i);
+			standing_t standing = standing_of(candidate, now_us,
+							  priority, excluded);
+
+			any_busy |= standing == STANDING_BUSY;
+			if (standing == STANDING_GOOD)
+				choose(routing, &choice, candidate);
+		}
+		if (choice.seen > 0)
+			chosen = less_loaded(&choice, now_us);
+	}
+	if (!chosen && any_busy)
+		return DWS_ROUTE_BUSY;
+	if (!chosen)
+		chosen = last_resort(routing, members, now_us, excluded);
+	if (!chosen)
+		return DWS_ROUTE_NONE;
+	note_trial(chosen->peer, now_us, priority);
+	*member = chosen->member;
+	return DWS_ROUTE_FOUND;
+}
+
+/* Counts a call that was sent to a member. */
+void dws_routing_started(dws_routing_t *routing, const char *vm_id)
+{
+	get_peer(routing, vm_id)->outstanding++;
+}
+
+/* Notes a lost answer. Those of one burst count as one failure. */
+static void note_loss(peer_t *peer, int64_t now_us)
+{
+	if (peer->failures > 0 && now_us < peer->avoid_until_us)
+		return;
+	int64_t wait_us = BACKOFF_LEAST_US;
+
+	for (uint32_t i = 0; i < peer->failures && wait_us < BACKOFF_MOST_US;
+	     i++)
+		wait_us *= 2;
+	peer->failures++;
+	peer->has_trial = false;
+	peer->avoid_until_us = now_us + MIN(wait_us, BACKOFF_MOST_US);
+}
+
+/* Ends a call that was started; see the header. */
+void dws_routing_ended(dws_routing_t *routing, int64_t now_us,
+		       const char *vm_id, const dws_load_t *load)
+{
+	peer_t *peer = g_hash_table_lookup(routing->peers, vm_id);
+
+	if (!peer)
+		return;
+	if (peer->outstanding > 0)
+		peer->outstanding--;
+	if (!load) {
+		note_loss(peer, now_us);
+		return;
+	}
+	peer->failures = 0;
+	peer->has_trial = false;
+	peer->has_load = true;
+	peer->load = *load;
+	peer->load_us = now_us;
+}
+
+/* When the advice of a busy member ends; DWS_NEVER_US if it is not busy. */
+static int64_t advice_end_us(const peer_t *peer, int64_t now_us)
+{
+	int64_t end_us = DWS_NEVER_US;
+
+	if (!peer->has_load || peer->load.threshold == 0)
+		return DWS_NEVER_US;
+	if (is_on_trial(peer, now_us))
+		end_us = peer->trial_us + TRIAL_US;
+	else if (now_us - peer->load_us < ADVICE_FRESH_US)
+		end_us = peer->load_us + ADVICE_FRESH_US;
+	return end_us;
+}
+
+/* When a member that is busy now may be tried again; see the header. */
+int64_t dws_routing_retry_us(const dws_routing_t *routing, int64_t now_us,
+			     const char *service)
+{
+	const GPtrArray *all = dws_membership_all(routing->membership);
+	int64_t least_us = DWS_NEVER_US;
+
+	for (guint i = 0; i < all->len; i++) {
+		const dws_member_t *member = all->pdata[i];
+
+		if (member->state != DWS_MEMBER_ALIVE ||
+		    strcmp(member->service, service) != 0)
+			continue;
+		const peer_t *peer =
+			g_hash_table_lookup(routing->peers, member->vm_id);
+
+		if (peer)
+			least_us = MIN(least_us, advice_end_us(peer, now_us));
+	}
+	return least_us;
+}
+
+/* Forgets a member, its outstanding calls included. */
+void dws_routing_forget(dws_routing_t *routing, const char *vm_id)
+{
+	g_hash_table_remove_all(routing->services);
+	routing->generation = UINT64_MAX;
+	g_hash_table_remove(routing->peers, vm_id);
+}
+
+/* Time since the load of a member was heard, in us; -1 if never. */
+int64_t dws_routing_load_age_us(const dws_routing_t *routing, int64_t now_us,
+				const char *vm_id)
+{
+	const peer_t *peer = g_hash_table_lookup(routing->peers, vm_id);
+
+	if (!peer || !peer->has_load)
+		return -1;
+	return now_us - peer->load_us;
+}
