Add a harness that runs a small site of real processes

Failure tests start the platform's and upstreams' stand-ins and daemons, and end them however the test ends (the kernel kills children with their parent). Not yet run against a daemon.

--- a/test/support/server.c
+++ b/test/support/server.c
@@ -15,7 +15,7 @@
 /* Lets the HTTP library work and asks when it wants to be called again. */
 static void run(server_t *server)
 {
-	MHD_UNSIGNED_LONG_LONG timeout_ms;
+	unsigned long long timeout_ms;
 
 	MHD_run(server->daemon);
 	ev_timer_stop(server->loop, &server->timer);
--- /dev/null
+++ b/test/support/site.c
@@ -0,0 +1,501 @@
+/*
+ * Starts, drives and ends the processes of a small site.
+ */
+#include "support/site.h"
+
+#include <CUnit/Basic.h>
+#include <arpa/inet.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "support/program.h"
+
+#define WAIT_US (60LL * G_USEC_PER_SEC)
+#define POLL_US 20000
+#define CALL_TIMEOUT_MS 30000
+
+/* Ends a process when the test program ends, however that ends. */
+static void die_with_parent(gpointer unused)
+{
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
+/* Starts a program of the build; reads its ready line if it prints one. */
+static void start(site_process_t *process, GPtrArray *arguments,
+		  bool prints_ready)
+{
+	const char *build = g_getenv("DWS_BUILD_DIR");
+	char line[256] = "";
+	char *program = g_strdup_printf("%s/%s", build ? build : "build",
+					(char *)arguments->pdata[0]);
+	GError *error = NULL;
+	int out = -1;
+
+	g_free(arguments->pdata[0]);
+	arguments->pdata[0] = program;
+	g_ptr_array_add(arguments, NULL);
+	if (!g_spawn_async_with_pipes(NULL, (char **)arguments->pdata, NULL,
+				      G_SPAWN_DO_NOT_REAP_CHILD,
+				      die_with_parent, NULL, &process->pid,
+				      NULL, prints_ready ? &out : NULL, NULL,
+				      &error)) {
+		fprintf(stderr, "%s; build it first\n", error->message);
+		exit(1);
+	}
+	g_ptr_array_free(arguments, TRUE);
+	if (!prints_ready)
+		return;
+	FILE *file = fdopen(out, "r");
+	char *at = fgets(line, sizeof(line), file) ? strchr(line, '=') : NULL;
+
+	for (int i = 0; at && i < (int)G_N_ELEMENTS(process->ports); i++) {
+		process->ports[i] = (uint16_t)strtoul(at + 1, &at, 10);
+		at = *at == ',' ? at : NULL;
+	}
+	fclose(file);
+}
+
+/* Collects arguments of a program; each is owned by the array. */
+static GPtrArray *arguments_new(const char *program, const char *options)
+{
+	GPtrArray *arguments = g_ptr_array_new_with_free_func(g_free);
+	char **parts = g_strsplit(options ? options : "", "|", -1);
+
+	g_ptr_array_add(arguments, g_strdup(program));
+	for (char **part = parts; *part; part++)
+		if (**part)
+			g_ptr_array_add(arguments, g_strdup(*part));
+	g_strfreev(parts);
+	return arguments;
+}
+
+/* Reserves a free port for a type of socket, until the socket is closed. */
+static uint16_t reserve_port(int type, int *fd)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t length = sizeof(address);
+
+	*fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (bind(*fd, (struct sockaddr *)&address, sizeof(address)) != 0 ||
+	    getsockname(*fd, (struct sockaddr *)&address, &length) != 0)
+		abort();
+	return ntohs(address.sin_port);
+}
+
+/* Kills a process and waits for its end. */
+void site_kill(site_process_t *process)
+{
+	if (process->pid <= 0)
+		return;
+	kill(process->pid, SIGKILL);
+	waitpid(process->pid, NULL, 0);
+	process->pid = 0;
+}
+
+void site_pause(site_process_t *process)
+{
+	kill(process->pid, SIGSTOP);
+}
+
+void site_continue(site_process_t *process)
+{
+	kill(process->pid, SIGCONT);
+}
+
+/* Asks a process to end and waits for it. */
+int site_stop(site_process_t *process)
+{
+	int status = -1;
+	int64_t deadline = 0;
+
+	kill(process->pid, SIGTERM);
+	while (waitpid(process->pid, &status, WNOHANG) == 0) {
+		if (!site_waits(&deadline))
+			return -1;
+	}
+	process->pid = 0;
+	return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+/* Sleeps a little; false once the time to wait is over. */
+bool site_waits(int64_t *deadline_us)
+{
+	int64_t now_us = g_get_monotonic_time();
+
+	if (*deadline_us == 0)
+		*deadline_us = now_us + WAIT_US;
+	g_usleep(POLL_US);
+	return now_us < *deadline_us;
+}
+
+/* Starts the platform's stand-in with a document as its snapshot. */
+site_t *site_new(const char *document)
+{
+	site_t *site = g_new0(site_t, 1);
+	GPtrArray *arguments =
+		arguments_new("test/standin_platform", "--document");
+
+	g_ptr_array_add(arguments, g_strdup(document));
+	site->dir = g_dir_make_tmp("site-XXXXXX", NULL);
+	site->vms = g_ptr_array_new();
+	start(&site->platform, arguments, true);
+	return site;
+}
+
+/* Runs one exchange on loopback and drops its answer's body. */
+static void post(uint16_t port, const char *path, const char *body)
+{
+	char *url = g_strdup_printf("http://127.0.0.1:%u%s", port, path);
+	http_exchange_t exchange;
+
+	http_init(&exchange, "POST", url, body, CALL_TIMEOUT_MS, NULL);
+	http_run(&exchange);
+	CU_ASSERT_EQUAL(exchange.status, 200);
+	http_finish(&exchange);
+	g_free(url);
+}
+
+void site_platform(site_t *site, const char *item, const char *body)
+{
+	char *path = g_strdup_printf("/control/%s", item);
+
+	post(site->platform.ports[0], path, body);
+	g_free(path);
+}
+
+void site_upstream(site_vm_t *vm, const char *query)
+{
+	char *path = g_strdup_printf("/control?%s", query);
+
+	post(vm->upstream.ports[0], path, "");
+	g_free(path);
+}
+
+/* Starts a VM's upstream, again on the same port if it had one. */
+void site_start_upstream(site_vm_t *vm, const char *options)
+{
+	GPtrArray *arguments = arguments_new("test/standin_upstream", options);
+
+	g_ptr_array_add(arguments, g_strdup_printf("--record=%s", vm->record));
+	g_ptr_array_add(arguments,
+			g_strdup_printf("--listen=%u,daemon=127.0.0.1:%u,"
+					"service_ms=5",
+					vm->upstream.ports[0], vm->nested));
+	start(&vm->upstream, arguments, true);
+}
+
+/* Adds a VM; see the header. */
+site_vm_t *site_add(site_t *site, const char *id, const char *zone,
+		    const char *service, const char *upstream,
+		    const char *settings)
+{
+	site_vm_t *vm = g_new0(site_vm_t, 1);
+
+	vm->site = site;
+	vm->id = g_strdup(id);
+	vm->zone = g_strdup(zone);
+	vm->service = g_strdup(service);
+	vm->settings = g_strdup(settings);
+	vm->record = g_strdup_printf("%s/%s.record", site->dir, id);
+	vm->log = g_strdup_printf("%s/%s.log", site->dir, id);
+	vm->callers = reserve_port(SOCK_STREAM, &vm->held[0]);
+	vm->nested = reserve_port(SOCK_STREAM, &vm->held[1]);
+	vm->admin = reserve_port(SOCK_STREAM, &vm->held[2]);
+	vm->frame = reserve_port(SOCK_STREAM, &vm->held[3]);
+	vm->datagram = reserve_port(SOCK_DGRAM, &vm->held[4]);
+	site_start_upstream(vm, upstream);
+	g_ptr_array_add(site->vms, vm);
+	return vm;
+}
+
+/* Writes the settings of a VM and returns the file's name. */
+static char *write_settings(const site_vm_t *vm)
+{
+	char *file = g_strdup_printf("%s/%s.yaml", vm->site->dir, vm->id);
+	char *text = g_strdup_printf(
+		"vm_id: %s\nzone: %s\nregion: palermo\nservice: %s\n"
+		"callers_listen: 127.0.0.1:%u\nupstream_listen: 127.0.0.1:%u\n"
+		"admin_listen: 127.0.0.1:%u\nframe_listen: 127.0.0.1:%u\n"
+		"datagram_listen: 127.0.0.1:%u\nupstream: 127.0.0.1:%u\n"
+		"platform: 127.0.0.1:%u\nlog_file: %s\n%s",
+		vm->id, vm->zone, vm->service, vm->callers, vm->nested,
+		vm->admin, vm->frame, vm->datagram, vm->upstream.ports[0],
+		vm->site->platform.ports[0], vm->log, vm->settings);
+
+	CU_ASSERT(g_file_set_contents(file, text, -1, NULL));
+	g_free(text);
+	return file;
+}
+
+/* Starts a daemon and waits until it serves. */
+bool site_start_daemon(site_vm_t *vm)
+{
+	GPtrArray *arguments = arguments_new("dogwoodshiftd", "--settings");
+
+	g_ptr_array_add(arguments, write_settings(vm));
+	for (int i = 0; i < SITE_LISTENERS; i++) {
+		if (vm->held[i] >= 0)
+			close(vm->held[i]);
+		vm->held[i] = -1;
+	}
+	start(&vm->daemon, arguments, false);
+	return site_wait_ready(vm);
+}
+
+/* Publishes the VMs and starts their daemons. */
+bool site_start(site_t *site)
+{
+	GString *list = g_string_new("vms:\n");
+	bool ready = true;
+
+	for (guint i = 0; i < site->vms->len; i++) {
+		const site_vm_t *vm = g_ptr_array_index(site->vms, i);
+
+		g_string_append_printf(
+			list,
+			"  - {id: %s, ip: 127.0.0.1, frame_port: %u, "
+			"datagram_port: %u, zone: %s, region: palermo, "
+			"service: %s, state: live}\n",
+			vm->id, vm->frame, vm->datagram, vm->zone, vm->service);
+	}
+	site_platform(site, "vms", list->str);
+	g_string_free(list, TRUE);
+	for (guint i = 0; i < site->vms->len; i++)
+		ready &= site_start_daemon(g_ptr_array_index(site->vms, i));
+	for (guint i = 0; i < site->vms->len; i++)
+		ready &= site_wait_ready(g_ptr_array_index(site->vms, i));
+	return ready;
+}
+
+/* True once a daemon serves and knows all members that run. */
+static bool is_ready(const site_vm_t *vm)
+{
+	char *status = site_admin(vm, "status");
+	bool open = strstr(status, "\"open\":true") != NULL;
+	int running = 0;
+
+	for (guint i = 0; i < vm->site->vms->len; i++) {
+		const site_vm_t *other = g_ptr_array_index(vm->site->vms, i);
+
+		running += other->daemon.pid > 0;
+	}
+	g_free(status);
+	return open && site_number(vm, "status", "members_alive") >= running;
+}
+
+/* Waits until a daemon serves and knows its peers. */
+bool site_wait_ready(site_vm_t *vm)
+{
+	int64_t deadline = 0;
+
+	while (!is_ready(vm)) {
+		if (!site_waits(&deadline)) {
+			fprintf(stderr, "%s is not ready; see its log\n",
+				vm->id);
+			return false;
+		}
+	}
+	return true;
+}
+
+/* Reads a page of the admin listener. */
+char *site_admin(const site_vm_t *vm, const char *page)
+{
+	char *url = g_strdup_printf("http://127.0.0.1:%u/%s", vm->admin, page);
+	http_exchange_t exchange;
+
+	http_init(&exchange, "GET", url, NULL, CALL_TIMEOUT_MS, NULL);
+	http_run(&exchange);
+	char *text = g_strdup(exchange.status == 200 ? exchange.body->str : "");
+
+	http_finish(&exchange);
+	g_free(url);
+	return text;
+}
+
+/* Finds a number behind a name, in JSON or as a counter's line. */
+int64_t site_number(const site_vm_t *vm, const char *page, const char *name)
+{
+	char *text = site_admin(vm, page);
+	size_t length = strlen(name);
+	int64_t value = -1;
+
+	for (char *at = strstr(text, name); at && value < 0;
+	     at = strstr(at + 1, name)) {
+		const char *rest = at + length + strspn(at + length, "\": ");
+
+		if (rest > at + length && g_ascii_isdigit(*rest))
+			value = g_ascii_strtoll(rest, NULL, 10);
+	}
+	g_free(text);
+	return value;
+}
+
+/* Sends a request as a customer; see the header. */
+void site_call(http_exchange_t *answer, const site_vm_t *vm, const char *method,
+	       const char *target, const char *customer, const char *ticket)
+{
+	char *url =
+		g_strdup_printf("http://127.0.0.1:%u%s", vm->callers, target);
+	char *who = g_strdup_printf("Dogwoodshift-Customer: %s", customer);
+	char *which = g_strdup_printf("Dogwoodshift-Ticket: %s",
+				      ticket ? ticket : "");
+	const char *const headers[] = {who, ticket ? which : NULL, NULL};
+
+	http_init(answer, method, url, "order", CALL_TIMEOUT_MS, headers);
+	http_run(answer);
+	g_free(url);
+	g_free(who);
+	g_free(which);
+}
+
+struct site_task {
+	GThread *thread;
+	http_exchange_t answer;
+	const site_vm_t *vm;
+	char *method;
+	char *target;
+	char *customer;
+	char *ticket;
+};
+
+static gpointer run_task(gpointer data)
+{
+	site_task_t *task = data;
+
+	site_call(&task->answer, task->vm, task->method, task->target,
+		  task->customer, task->ticket);
+	return NULL;
+}
+
+/* Starts a request on a thread of its own. */
+site_task_t *site_call_later(const site_vm_t *vm, const char *method,
+			     const char *target, const char *customer,
+			     const char *ticket)
+{
+	site_task_t *task = g_new0(site_task_t, 1);
+
+	task->vm = vm;
+	task->method = g_strdup(method);
+	task->target = g_strdup(target);
+	task->customer = g_strdup(customer);
+	task->ticket = g_strdup(ticket);
+	task->thread = g_thread_new("call", run_task, task);
+	return task;
+}
+
+/* Waits for the answer of a background request. */
+void site_join(site_task_t *task, http_exchange_t *answer)
+{
+	g_thread_join(task->thread);
+	*answer = task->answer;
+	g_free(task->method);
+	g_free(task->target);
+	g_free(task->customer);
+	g_free(task->ticket);
+	g_free(task);
+}
+
+/* Gets a ticket by a first call without one. */
+char *site_ticket(const site_vm_t *vm, const char *target)
+{
+	http_exchange_t answer;
+
+	site_call(&answer, vm, "POST", target, "hotel-etna", NULL);
+	CU_ASSERT_EQUAL(answer.status, 428);
+	char *ticket =
+		g_strdup(http_header(&answer, "dogwoodshift-next-ticket"));
+
+	CU_ASSERT(*ticket != '\0');
+	http_finish(&answer);
+	return ticket;
+}
+
+bool site_has_outcome(const http_exchange_t *answer, const char *outcome)
+{
+	return strcmp(http_header(answer, "dogwoodshift-outcome"), outcome) ==
+	       0;
+}
+
+bool site_is_complete(const http_exchange_t *answer, const char *target)
+{
+	return answer->status == 200 && site_has_outcome(answer, "complete") &&
+	       program_body_is_whole(answer->body->str, target);
+}
+
+/* Counts lines of the upstreams' records. */
+int site_count(const site_t *site, const char *event, const char *target)
+{
+	char *start_of_line = g_strdup_printf("%s ", event);
+	char *member = g_strdup_printf(" %s ", target);
+	int count = 0;
+
+	for (guint i = 0; i < site->vms->len; i++) {
+		const site_vm_t *vm = g_ptr_array_index(site->vms, i);
+		char *text = NULL;
+
+		if (!g_file_get_contents(vm->record, &text, NULL, NULL))
+			continue;
+		char **lines = g_strsplit(text, "\n", -1);
+
+		for (char **line = lines; *line; line++)
+			count += g_str_has_prefix(*line, start_of_line) &&
+				 strstr(*line, member);
+		g_strfreev(lines);
+		g_free(text);
+	}
+	g_free(start_of_line);
+	g_free(member);
+	return count;
+}
+
+/* Ends all processes and frees the site. */
+void site_free(site_t *site)
+{
+	for (guint i = 0; i < site->vms->len; i++) {
+		site_vm_t *vm = g_ptr_array_index(site->vms, i);
+
+		site_kill(&vm->daemon);
+		site_kill(&vm->upstream);
+	}
+	site_kill(&site->platform);
+	if (CU_get_number_of_failures() > 0) {
+		fprintf(stderr, "logs are kept in %s\n", site->dir);
+		return;
+	}
+	GDir *dir = g_dir_open(site->dir, 0, NULL);
+
+	for (const char *name; (name = g_dir_read_name(dir));) {
+		char *file = g_build_filename(site->dir, name, NULL);
+
+		g_unlink(file);
+		g_free(file);
+	}
+	g_dir_close(dir);
+	g_rmdir(site->dir);
+}
+
+/* Runs the tests of one program in their order. */
+int site_main(const char *suite_name, const site_test_t *tests)
+{
+	CU_initialize_registry();
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	CU_pSuite suite = CU_add_suite(suite_name, NULL, NULL);
+
+	for (; tests->name; tests++)
+		CU_add_test(suite, tests->name, tests->run);
+	CU_basic_set_mode(CU_BRM_VERBOSE);
+	CU_basic_run_tests();
+	unsigned int failures = CU_get_number_of_failures();
+
+	CU_cleanup_registry();
+	return failures ? 1 : 0;
+}
