Add failure tests of at-most-once, refusals, drain and versions

Each drives real processes into one fault and compares what customers are told with the upstreams' records of executions. Not yet run against a daemon.

--- /dev/null
+++ b/test/failure/not_run.c
@@ -0,0 +1,177 @@
+/*
+ * A request that a customer was told is not run was not run, and each
+ * complete answer belongs to its own request, also under overload and while a
+ * daemon drains.
+ */
+#include <CUnit/CUnit.h>
+#include <signal.h>
+
+#include "support/site.h"
+
+#define BURST 60
+#define SETTINGS                                                               \
+	"probe_interval_ms: 100\nmax_queue: 4\nmax_held: 4\nupstream_slots: "  \
+	"2\n"
+
+typedef struct burst {
+	site_task_t *tasks[BURST];
+	char *targets[BURST];
+	int complete, not_run, other;
+} burst_t;
+
+/* Sends browsing and deposits at once, each as a request of its own. */
+static void send_burst(burst_t *burst, const site_vm_t *vm)
+{
+	for (int i = 0; i < BURST; i++) {
+		bool pays = i % 2;
+		char *customer = g_strdup_printf("customer-%d", i);
+		char *ticket;
+
+		burst->targets[i] = g_strdup_printf("/deposits/%s?order=%d",
+						    pays ? "pay" : "list", i);
+		ticket = pays ? site_ticket(vm, burst->targets[i]) : NULL;
+		burst->tasks[i] =
+			site_call_later(vm, pays ? "POST" : "GET",
+					burst->targets[i], customer, ticket);
+		g_free(customer);
+		g_free(ticket);
+	}
+}
+
+/* Compares every answer with the record of executions. */
+static void check_burst(burst_t *burst, const site_t *site)
+{
+	for (int i = 0; i < BURST; i++) {
+		http_exchange_t answer;
+
+		site_join(burst->tasks[i], &answer);
+		int starts = site_count(site, "start", burst->targets[i]);
+
+		if (site_has_outcome(&answer, "complete")) {
+			burst->complete++;
+			CU_ASSERT(site_is_complete(&answer, burst->targets[i]));
+			CU_ASSERT(starts >= 1);
+		} else if (site_has_outcome(&answer, "not-run")) {
+			burst->not_run++;
+			CU_ASSERT_EQUAL(starts, 0);
+		} else {
+			burst->other++;
+		}
+		CU_ASSERT(i % 2 == 0 || starts <= 1);
+		http_finish(&answer);
+		g_free(burst->targets[i]);
+	}
+	printf("complete=%d not_run=%d other=%d ", burst->complete,
+	       burst->not_run, burst->other);
+}
+
+static void test_overload(void)
+{
+	site_t *site = site_new("examples/trinacria.yaml");
+	site_vm_t *vm =
+		site_add(site, "one", "a", "deposits", "--fixed", SETTINGS);
+	burst_t burst = {.complete = 0};
+
+	CU_ASSERT_FATAL(site_start(site));
+	site_upstream(vm, "service_ms=200&slots=2");
+	send_burst(&burst, vm);
+	check_burst(&burst, site);
+	CU_ASSERT(burst.complete > 0 && burst.not_run > 0);
+	CU_ASSERT_EQUAL(burst.other, 0);
+	site_free(site);
+}
+
+/* The upstream sheds what its own queue can't take, and says so. */
+static void test_upstream_sheds(void)
+{
+	site_t *site = site_new("examples/trinacria.yaml");
+	site_vm_t *vm = site_add(site, "one", "a", "deposits", "--fixed",
+				 "probe_interval_ms: 100\npolicy: none\n");
+	burst_t burst = {.complete = 0};
+
+	CU_ASSERT_FATAL(site_start(site));
+	site_upstream(vm, "service_ms=200&slots=1&queue=1");
+	send_burst(&burst, vm);
+	check_burst(&burst, site);
+	CU_ASSERT(burst.complete > 0);
+	CU_ASSERT_EQUAL(burst.other, 0);
+	site_free(site);
+}
+
+/* SIGTERM lets all work in flight end, at the daemon and through it. */
+static void test_drain(void)
+{
+	site_t *site = site_new("examples/trinacria.yaml");
+	site_vm_t *entry = site_add(site, "entry", "a", "bookings", "--fixed",
+				    "probe_interval_ms: 100\n");
+	site_vm_t *leaving = site_add(site, "leaving", "a", "deposits",
+				      "--fixed", "probe_interval_ms: 100\n");
+	burst_t through = {.complete = 0}, direct = {.complete = 0};
+	int64_t deadline = 0;
+
+	CU_ASSERT_FATAL(site_start(site));
+	site_upstream(leaving, "service_ms=300&slots=20");
+	send_burst(&through, entry);
+	send_burst(&direct, leaving);
+	while (site_count(site, "start", direct.targets[BURST - 1]) == 0 &&
+	       site_waits(&deadline))
+		;
+	CU_ASSERT_EQUAL(site_stop(&leaving->daemon), 0);
+	check_burst(&through, site);
+	check_burst(&direct, site);
+	CU_ASSERT_EQUAL(direct.other, 0);
+	CU_ASSERT_EQUAL(through.other, 0);
+	CU_ASSERT(direct.complete > 0 && through.complete > 0);
+	site_free(site);
+}
+
+/* New work goes elsewhere at once, though the list still names the VM. */
+static void test_leaving_gets_no_new_work(void)
+{
+	site_t *site = site_new("examples/trinacria.yaml");
+	site_vm_t *entry = site_add(site, "entry", "a", "bookings", "--fixed",
+				    "probe_interval_ms: 100\n");
+	site_vm_t *leaving = site_add(site, "leaving", "a", "deposits",
+				      "--fixed", "probe_interval_ms: 100\n");
+	http_exchange_t answer;
+	site_task_t *slow;
+	int64_t deadline = 0;
+
+	site_add(site, "staying", "b", "deposits", "--fixed",
+		 "probe_interval_ms: 100\n");
+	CU_ASSERT_FATAL(site_start(site));
+	site_upstream(leaving, "service_ms=3000");
+	slow = site_call_later(leaving, "GET", "/deposits/slow?order=0",
+			       "hotel-etna", NULL);
+	while (site_count(site, "start", "/deposits/slow?order=0") == 0 &&
+	       site_waits(&deadline))
+		;
+	kill(leaving->daemon.pid, SIGTERM);
+	g_usleep(G_USEC_PER_SEC);
+	for (int i = 1; i <= 10; i++) {
+		char *target = g_strdup_printf("/deposits/list?order=%d", i);
+
+		site_call(&answer, entry, "GET", target, "hotel-etna", NULL);
+		CU_ASSERT(site_is_complete(&answer, target));
+		http_finish(&answer);
+		g_free(target);
+	}
+	site_join(slow, &answer);
+	CU_ASSERT(site_is_complete(&answer, "/deposits/slow?order=0"));
+	http_finish(&answer);
+	CU_ASSERT_EQUAL(site_stop(&leaving->daemon), 0);
+	site_free(site);
+}
+
+int main(void)
+{
+	static const site_test_t tests[] = {
+		{"overload", test_overload},
+		{"upstream sheds", test_upstream_sheds},
+		{"drain", test_drain},
+		{"leaving", test_leaving_gets_no_new_work},
+		{NULL, NULL},
+	};
+
+	return site_main("not run", tests);
+}
--- /dev/null
+++ b/test/failure/versions.c
@@ -0,0 +1,180 @@
+/*
+ * Patches are accepted everywhere or nowhere, an accepted version never goes
+ * back, each side of a partition serves on, and planned slowdowns reach only
+ * customers who were called.
+ */
+#include <CUnit/CUnit.h>
+
+#include "support/site.h"
+
+#define PROBES "probe_interval_ms: 100\n"
+#define SLOWDOWN_MS 2000
+
+/* Two availability zones with one VM each that serves deposits. */
+static site_t *two_zones(site_vm_t **vms)
+{
+	site_t *site = site_new("examples/trinacria.yaml");
+
+	vms[0] = site_add(site, "vm-a", "a", "deposits", "--fixed", PROBES);
+	vms[1] = site_add(site, "vm-b", "b", "deposits", "--fixed", PROBES);
+	CU_ASSERT_FATAL(site_start(site));
+	return site;
+}
+
+/* Waits until a VM has read up to a sequence; false if it never does. */
+static bool reaches(const site_vm_t *vm, int64_t sequence)
+{
+	int64_t deadline = 0;
+
+	while (site_number(vm, "status", "sequence") < sequence)
+		if (!site_waits(&deadline))
+			return false;
+	return true;
+}
+
+static void check_version(const site_vm_t *vm, int64_t sequence,
+			  int64_t version)
+{
+	CU_ASSERT(reaches(vm, sequence));
+	CU_ASSERT_EQUAL(site_number(vm, "status", "sequence"), sequence);
+	CU_ASSERT_EQUAL(site_number(vm, "status", "version"), version);
+}
+
+static void test_race(void)
+{
+	site_vm_t *vms[2];
+	site_t *site = two_zones(vms);
+
+	site_platform(site, "entry",
+		      "base_version: 1\n"
+		      "patch: {limits: {customer_retries_per_min: 50}}\n");
+	site_platform(site, "entry",
+		      "base_version: 1\n"
+		      "patch: {limits: {customer_retries_per_min: 40}}\n");
+	for (int i = 0; i < 2; i++) {
+		char *document;
+
+		check_version(vms[i], 3, 2);
+		document = site_admin(vms[i], "config");
+		CU_ASSERT_PTR_NOT_NULL(
+			g_strrstr(document, "customer_retries_per_min: 50"));
+		g_free(document);
+	}
+	site_free(site);
+}
+
+/* A replaced VM asks its peers too, so a stale platform can't set it back. */
+static void test_stale_platform(void)
+{
+	site_vm_t *vms[2];
+	site_t *site = two_zones(vms);
+
+	site_platform(site, "entry",
+		      "base_version: 1\n"
+		      "patch: {limits: {customer_retries_per_min: 50}}\n");
+	check_version(vms[0], 2, 2);
+	check_version(vms[1], 2, 2);
+	site_restart_platform(site);
+	site_kill(&vms[0]->daemon);
+	CU_ASSERT(site_start_daemon(vms[0]));
+	check_version(vms[0], 2, 2);
+	check_version(vms[1], 2, 2);
+	site_free(site);
+}
+
+/* Pays a deposit and checks how it ended. */
+static void pay(const site_vm_t *vm, const site_vm_t *home, const char *target,
+		const char *expected)
+{
+	http_exchange_t answer;
+	char *ticket = site_ticket(home, target);
+
+	site_call(&answer, vm, "POST", target, "hotel-etna", ticket);
+	CU_ASSERT(site_has_outcome(&answer, expected));
+	http_finish(&answer);
+	g_free(ticket);
+}
+
+static void test_partition(void)
+{
+	site_vm_t *vms[2];
+	site_t *site = two_zones(vms);
+
+	site_set_partition(site, true);
+	pay(vms[0], vms[0], "/deposits/pay?order=1", "complete");
+	pay(vms[1], vms[1], "/deposits/pay?order=2", "complete");
+	pay(vms[1], vms[0], "/deposits/pay?order=3", "unknown");
+	CU_ASSERT_EQUAL(site_count(site, "start", "/deposits/pay?order=3"), 0);
+	site_set_partition(site, false);
+	CU_ASSERT(site_wait_ready(vms[0]) && site_wait_ready(vms[1]));
+	pay(vms[1], vms[0], "/deposits/pay?order=4", "complete");
+	CU_ASSERT_EQUAL(site_count(site, "start", "/deposits/pay?order=4"), 1);
+	site_free(site);
+}
+
+/* Publishes a slowdown that is on now; one of its two customers was called. */
+static void publish_slowdown(site_t *site)
+{
+	GDateTime *now = g_date_time_new_now_utc();
+	GDateTime *from = g_date_time_add_hours(now, -1);
+	GDateTime *to = g_date_time_add_hours(now, 1);
+	char *start = g_date_time_format(from, "%Y-%m-%dT%H:%M:%SZ");
+	char *end = g_date_time_format(to, "%Y-%m-%dT%H:%M:%SZ");
+	char *entry = g_strdup_printf(
+		"base_version: 1\npatch: {slowdowns: {today: {start: \"%s\", "
+		"end: \"%s\", added_delay_ms: %d, kinds: [browse-receipts], "
+		"customers: [hotel-etna, not-called], called: {hotel-etna: "
+		"\"%s/%s/browse-receipts\"}}}}\n",
+		start, end, SLOWDOWN_MS, start, end);
+
+	site_platform(site, "entry", entry);
+	g_free(entry);
+	g_free(start);
+	g_free(end);
+	g_date_time_unref(from);
+	g_date_time_unref(to);
+	g_date_time_unref(now);
+}
+
+/* The number of slowed requests at a VM after one of a customer. */
+static int64_t slowed_after(const site_vm_t *vm, const char *customer)
+{
+	http_exchange_t answer;
+
+	site_call(&answer, vm, "GET", "/deposits/list?order=1", customer, NULL);
+	CU_ASSERT(site_is_complete(&answer, "/deposits/list?order=1"));
+	http_finish(&answer);
+	return site_number(vm, "counters", "slowed");
+}
+
+static void test_slowdown(void)
+{
+	site_vm_t *vms[2];
+	site_t *site = two_zones(vms);
+
+	publish_slowdown(site);
+	for (int i = 0; i < 2; i++) {
+		check_version(vms[i], 2, 2);
+		CU_ASSERT_EQUAL(slowed_after(vms[i], "not-called"), 0);
+		CU_ASSERT_EQUAL(slowed_after(vms[i], "not-listed"), 0);
+		int64_t start_us = g_get_monotonic_time();
+
+		CU_ASSERT_EQUAL(slowed_after(vms[i], "hotel-etna"), 1);
+		CU_ASSERT(g_get_monotonic_time() - start_us >=
+			  SLOWDOWN_MS * 1000LL);
+	}
+	site_free(site);
+}
+
+int main(void)
+{
+	static const site_test_t tests[] = {
+		{"racing patches", test_race},
+		{"stale platform", test_stale_platform},
+		{"partition", test_partition},
+		{"slowdown", test_slowdown},
+		{NULL, NULL},
+	};
+
+	return site_main("versions", tests);
+}
--- a/test/standin/caller.c
+++ b/test/standin/caller.c
@@ -104,7 +104,7 @@
 	const char *outcome = http_header(exchange, "dogwoodshift-outcome");
 	const char *reason = http_header(exchange, "dogwoodshift-reason");
 	int64_t latency_us = program_now_us() - sent->start_us;
-	bool whole = program_body_is_whole(exchange->body->str, sent->target);
+	bool whole = http_body_is_whole(exchange->body->str, sent->target);
 
 	if (strcmp(outcome, "complete") == 0 && exchange->status == 200) {
 		load->complete++;
--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -106,9 +106,9 @@
 	if (job->request && upstream->close == CLOSE_AFTER) {
 		server_drop(job->request);
 	} else if (job->request) {
-		char *body = program_body(job->target, job->identity,
-					  job->statuses->str,
-					  (size_t)bench->body_bytes);
+		char *body = http_body(job->target, job->identity,
+				       job->statuses->str,
+				       (size_t)bench->body_bytes);
 
 		server_answer(job->request, job->failed ? 502 : 200, body,
 			      "Content-Type", "text/plain");
--- a/test/support/http.h
+++ b/test/support/http.h
@@ -6,6 +6,7 @@
 
 #include <curl/curl.h>
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 typedef struct http_exchange {
@@ -29,4 +30,10 @@
 /* A header of the answer by its lower-case name; "" if absent. */
 const char *http_header(const http_exchange_t *exchange, const char *name);
 
+/* The body of an upstream's answer; freed with g_free(). */
+char *http_body(const char *target, const char *identity, const char *nested,
+		size_t padding_bytes);
+/* True if a body is whole and answers this target. */
+bool http_body_is_whole(const char *body, const char *target);
+
 #endif
--- a/test/support/program.c
+++ b/test/support/program.c
@@ -1,5 +1,5 @@
 /*
- * Options, life span and answer bodies of stand-ins.
+ * Options and life span of stand-ins.
  */
 #include "support/program.h"
 
@@ -78,37 +78,3 @@
 	g_free(text);
 	return value;
 }
-
-/* Two lines: what was executed, and a checksum over the first. */
-char *program_body(const char *target, const char *identity, const char *nested,
-		   size_t padding_bytes)
-{
-	char *padding = g_strnfill(padding_bytes, '.');
-	char *line = g_strdup_printf("target=%s identity=%s nested=%s %s",
-				     target, identity, nested, padding);
-	char *body =
-		g_strdup_printf("%s\nchecksum=%08x\n", line, g_str_hash(line));
-
-	g_free(padding);
-	g_free(line);
-	return body;
-}
-
-/* Checks the checksum and the target of a body. */
-bool program_body_is_whole(const char *body, const char *target)
-{
-	const char *end = strchr(body, '\n');
-
-	if (!end)
-		return false;
-	char *line = g_strndup(body, (gsize)(end - body));
-	char *checksum = g_strdup_printf("\nchecksum=%08x\n", g_str_hash(line));
-	char *prefix = g_strdup_printf("target=%s ", target);
-	bool whole =
-		strcmp(end, checksum) == 0 && g_str_has_prefix(line, prefix);
-
-	g_free(line);
-	g_free(checksum);
-	g_free(prefix);
-	return whole;
-}
--- a/test/support/program.h
+++ b/test/support/program.h
@@ -1,6 +1,5 @@
 /*
- * What all stand-ins share: options, a bounded life, and the body of answers
- * that lets a caller tell whether an answer is whole and its own.
+ * What all stand-ins share: options and a bounded life.
  */
 #ifndef DWS_TEST_PROGRAM_H
 #define DWS_TEST_PROGRAM_H
@@ -22,10 +21,4 @@
 char *program_value(const char *spec, const char *key);
 int64_t program_number(const char *spec, const char *key, int64_t fallback);
 
-/* The body of an upstream's answer; freed with g_free(). */
-char *program_body(const char *target, const char *identity, const char *nested,
-		   size_t padding_bytes);
-/* True if a body is whole and answers this target. */
-bool program_body_is_whole(const char *body, const char *target);
-
 #endif
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -15,8 +15,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include "support/program.h"
-
 #define WAIT_US (60LL * G_USEC_PER_SEC)
 #define POLL_US 20000
 #define CALL_TIMEOUT_MS 30000
@@ -136,17 +134,28 @@
 	return now_us < *deadline_us;
 }
 
-/* Starts the platform's stand-in with a document as its snapshot. */
+/* Starts the platform's stand-in, on its earlier port if it had one. */
+void site_restart_platform(site_t *site)
+{
+	GPtrArray *arguments = arguments_new("test/standin_platform", NULL);
+
+	site_kill(&site->platform);
+	g_ptr_array_add(arguments,
+			g_strdup_printf("--document=%s", site->document));
+	g_ptr_array_add(arguments, g_strdup_printf("--listen=%u",
+						   site->platform.ports[0]));
+	start(&site->platform, arguments, true);
+}
+
+/* Starts a site with its platform only. */
 site_t *site_new(const char *document)
 {
 	site_t *site = g_new0(site_t, 1);
-	GPtrArray *arguments =
-		arguments_new("test/standin_platform", "--document");
 
-	g_ptr_array_add(arguments, g_strdup(document));
 	site->dir = g_dir_make_tmp("site-XXXXXX", NULL);
+	site->document = g_strdup(document);
 	site->vms = g_ptr_array_new();
-	start(&site->platform, arguments, true);
+	site_restart_platform(site);
 	return site;
 }
 
@@ -428,7 +437,7 @@
 bool site_is_complete(const http_exchange_t *answer, const char *target)
 {
 	return answer->status == 200 && site_has_outcome(answer, "complete") &&
-	       program_body_is_whole(answer->body->str, target);
+	       http_body_is_whole(answer->body->str, target);
 }
 
 /* Counts lines of the upstreams' records. */
--- a/test/support/site.h
+++ b/test/support/site.h
@@ -38,12 +38,15 @@
 
 struct site {
 	char *dir;
+	char *document; /* file of the platform's first snapshot */
 	site_process_t platform;
 	GPtrArray *vms; /* site_vm_t * */
 };
 
 /* Starts a platform that publishes a document. */
 site_t *site_new(const char *document);
+/* Replaces the platform by one that knows only the first document. */
+void site_restart_platform(site_t *site);
 /* Ends all processes and removes all files. */
 void site_free(site_t *site);
 
