--- a/test/standin/caller.c
+++ b/test/standin/caller.c
@@ -7,8 +7,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "support/client.h"
+#include "support/ports.h"
 #include "support/program.h"
 
 #define MAX_CONNECTIONS 1000
@@ -303,9 +305,17 @@
 	return load->complete == 1;
 }
 
+/* Prints ports that are free now, for scripts. */
+static int print_ports(int count)
+{
+	for (int i = 0, fd; i < count; i++)
+		printf("%u\n", port_reserve(SOCK_STREAM, &fd));
+	return 0;
+}
+
 int main(int argc, const char **argv)
 {
-	int max_s = 600, duration_s = 10;
+	int max_s = 600, duration_s = 10, free_ports = 0;
 	char *customer = "customer-0", *file = NULL, **loads = NULL;
 	caller_t caller = {
 		.loop = ev_default_loop(0), .timeout_ms = 30000, .seed = 1};
@@ -324,11 +334,14 @@
 		{"once", 0, POPT_ARG_STRING, &caller.once, 0,
 		 "a single request", "METHOD /PATH"},
 		{"customer", 0, POPT_ARG_STRING, &customer, 0, "its", "NAME"},
+		{"free-ports", 0, POPT_ARG_INT, &free_ports, 0, "print", "N"},
 		{"max-seconds", 0, POPT_ARG_INT, &max_s, 0, "life", "S"},
 		POPT_AUTOHELP POPT_TABLEEND};
 
 	program_options(argc, argv, options);
 	program_limit(caller.loop, max_s);
+	if (free_ports > 0)
+		return print_ports(free_ports);
 	if (!caller.daemons) {
 		fprintf(stderr, "no daemon is given; add --daemon IP:PORT\n");
 		return 2;
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -4,7 +4,6 @@
 #include "support/site.h"
 
 #include <CUnit/Basic.h>
-#include <arpa/inet.h>
 #include <glib/gstdio.h>
 #include <signal.h>
 #include <stdio.h>
@@ -15,6 +14,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "support/ports.h"
+
 #define WAIT_US (60LL * G_USEC_PER_SEC)
 #define POLL_US 20000
 #define CALL_TIMEOUT_MS 30000
@@ -74,20 +75,6 @@
 	return arguments;
 }
 
-/* Reserves a free port for a type of socket, until the socket is closed. */
-static uint16_t reserve_port(int type, int *fd)
-{
-	struct sockaddr_in address = {.sin_family = AF_INET};
-	socklen_t length = sizeof(address);
-
-	*fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	if (bind(*fd, (struct sockaddr *)&address, sizeof(address)) != 0 ||
-	    getsockname(*fd, (struct sockaddr *)&address, &length) != 0)
-		abort();
-	return ntohs(address.sin_port);
-}
-
 /* Kills a process and waits for its end. */
 void site_kill(site_process_t *process)
 {
@@ -215,11 +202,11 @@
 	vm->settings = g_strdup(settings);
 	vm->record = g_strdup_printf("%s/%s.record", site->dir, id);
 	vm->log = g_strdup_printf("%s/%s.log", site->dir, id);
-	vm->callers = reserve_port(SOCK_STREAM, &vm->held[0]);
-	vm->nested = reserve_port(SOCK_STREAM, &vm->held[1]);
-	vm->admin = reserve_port(SOCK_STREAM, &vm->held[2]);
-	vm->frame = reserve_port(SOCK_STREAM, &vm->held[3]);
-	vm->datagram = reserve_port(SOCK_DGRAM, &vm->held[4]);
+	vm->callers = port_reserve(SOCK_STREAM, &vm->held[0]);
+	vm->nested = port_reserve(SOCK_STREAM, &vm->held[1]);
+	vm->admin = port_reserve(SOCK_STREAM, &vm->held[2]);
+	vm->frame = port_reserve(SOCK_STREAM, &vm->held[3]);
+	vm->datagram = port_reserve(SOCK_DGRAM, &vm->held[4]);
 	site_start_upstream(vm, upstream);
 	g_ptr_array_add(site->vms, vm);
 	return vm;
