Check configurations and planned slowdowns

Daemons and the tool need one reading of the configuration: the same document must be valid, and invalid with the same words, everywhere.

A version is built from a document in the order of its sorted keys, with or without lines in the messages. A kind matches by whole path segments, the longest prefix first; a path with empty, dot or encoded segments matches none, as an upstream may resolve it to the path of another kind.

--- /dev/null
+++ b/src/version/config.c
@@ -0,0 +1,195 @@
+/*
+ * One version of the configuration: its life and its lookups.
+ */
+#include "version/config_read.h"
+
+#define DEFAULT_CUSTOMER_RETRIES_PER_MIN 60
+#define MAX_CUSTOMER_RETRIES_PER_MIN 100000
+#define DEFAULT_FRESHNESS_MS 60000
+#define MIN_FRESHNESS_MS 100
+#define MAX_FRESHNESS_MS (3600 * 1000)
+#define DEFAULT_CLOCK_SKEW_MS 5000
+#define MAX_CLOCK_SKEW_MS (600 * 1000)
+#define MAX_SLOTS 10000
+
+/* Frees a slowdown held by the configuration's array. */
+static void free_slowdown(void *data)
+{
+	dws_slowdown_free(data);
+}
+
+/* An empty configuration with one reference. */
+static dws_config_t *new_config(uint64_t version)
+{
+	dws_config_t *config = g_new0(dws_config_t, 1);
+
+	config->references = 1;
+	config->version = version;
+	config->services = g_array_new(FALSE, TRUE, sizeof(dws_service_t));
+	config->kinds = g_array_new(FALSE, TRUE, sizeof(dws_kind_t));
+	config->slowdowns = g_ptr_array_new_with_free_func(free_slowdown);
+	config->customer_retries_per_min = DEFAULT_CUSTOMER_RETRIES_PER_MIN;
+	config->slowdown_freshness_ms = DEFAULT_FRESHNESS_MS;
+	config->slowdown_clock_skew_ms = DEFAULT_CLOCK_SKEW_MS;
+	return config;
+}
+
+/* Takes one more reference and returns the configuration. */
+dws_config_t *dws_config_ref(dws_config_t *config)
+{
+	config->references++;
+	return config;
+}
+
+/* Drops a reference; the last one frees the configuration. Ignores NULL. */
+void dws_config_unref(dws_config_t *config)
+{
+	if (!config || --config->references > 0)
+		return;
+	g_array_unref(config->services);
+	g_array_unref(config->kinds);
+	g_ptr_array_unref(config->slowdowns);
+	g_free(config);
+}
+
+/* Reads one service. */
+static void read_service(dws_config_t *config, const dws_fields_t *fields,
+			 const char *name)
+{
+	static const char *const keys[] = {"slots"};
+	dws_service_t service = {.slots = 0};
+
+	dws_fields_known(fields, keys, G_N_ELEMENTS(keys));
+	g_strlcpy(service.name, name, sizeof(service.name));
+	dws_fields_number(fields, "slots", 0, MAX_SLOTS, &service.slots);
+	g_array_append_val(config->services, service);
+}
+
+/* Reads each entry of a map of named maps, in the order of the names. */
+void dws_config_read_entries(dws_config_t *config, const dws_fields_t *fields,
+			     const char *key, dws_entry_reader_t read)
+{
+	const dws_value_t *map = dws_fields_get(fields, key);
+	dws_fields_t list;
+	char *path = g_strconcat(key, ".", NULL);
+
+	if (map && dws_fields_init(&list, fields->faults, map, path)) {
+		GPtrArray *pairs = dws_value_sorted(map);
+
+		for (guint i = 0; i < pairs->len; i++) {
+			const dws_pair_t *pair = pairs->pdata[i];
+			char *inner = g_strconcat(path, pair->key, ".", NULL);
+			dws_fields_t entry;
+
+			if (!dws_is_name(pair->key, DWS_NAME_SIZE))
+				dws_fields_fault(&list, DWS_ERROR_VALUE,
+						 pair->key,
+						 "is no name; use 1 to 63 "
+						 "letters, digits, -, _ or .");
+			else if (dws_fields_init(&entry, fields->faults,
+						 pair->value, inner))
+				read(config, &entry, pair->key);
+			g_free(inner);
+		}
+		g_ptr_array_unref(pairs);
+	}
+	g_free(path);
+}
+
+/* Reads the limits that are no part of a kind. */
+static void read_limits(dws_config_t *config, const dws_fields_t *fields)
+{
+	static const char *const keys[] = {"customer_retries_per_min",
+					   "slowdown_freshness_ms",
+					   "slowdown_clock_skew_ms"};
+	const dws_value_t *map = dws_fields_get(fields, "limits");
+	dws_fields_t limits;
+
+	if (!map || !dws_fields_init(&limits, fields->faults, map, "limits."))
+		return;
+	dws_fields_known(&limits, keys, G_N_ELEMENTS(keys));
+	dws_fields_number(&limits, keys[0], 0, MAX_CUSTOMER_RETRIES_PER_MIN,
+			  &config->customer_retries_per_min);
+	dws_fields_number(&limits, keys[1], MIN_FRESHNESS_MS, MAX_FRESHNESS_MS,
+			  &config->slowdown_freshness_ms);
+	dws_fields_number(&limits, keys[2], 0, MAX_CLOCK_SKEW_MS,
+			  &config->slowdown_clock_skew_ms);
+}
+
+/* Reads the whole document. */
+static void read_config(dws_config_t *config, const dws_fields_t *fields)
+{
+	static const char *const keys[] = {"services", "kinds", "slowdowns",
+					   "limits"};
+
+	dws_fields_known(fields, keys, G_N_ELEMENTS(keys));
+	dws_fields_require(fields, "kinds");
+	dws_config_read_entries(config, fields, "services", read_service);
+	dws_config_read_entries(config, fields, "kinds", dws_config_read_kind);
+	dws_config_read_entries(config, fields, "slowdowns",
+				dws_config_read_slowdown);
+	read_limits(config, fields);
+}
+
+/*
+ * Builds and checks a version from a document. The caller drops the result
+ * with dws_config_unref(). NULL with every fault in one error.
+ */
+dws_config_t *dws_config_build(const dws_value_t *document, const char *name,
+			       uint64_t version, GError **error)
+{
+	dws_config_t *config = new_config(version);
+	dws_faults_t faults;
+	dws_fields_t fields;
+
+	dws_faults_init(&faults, name);
+	if (dws_fields_init(&fields, &faults, document, ""))
+		read_config(config, &fields);
+	if (dws_faults_finish(&faults, error))
+		return config;
+	dws_config_unref(config);
+	return NULL;
+}
+
+/* Builds and checks a version from YAML text; as dws_config_build(). */
+dws_config_t *dws_config_parse(const char *text, size_t size_bytes,
+			       const char *name, uint64_t version,
+			       GError **error)
+{
+	dws_value_t *document =
+		dws_document_parse(text, size_bytes, name, error);
+
+	if (!document)
+		return NULL;
+	dws_config_t *config = dws_config_build(document, name, version, error);
+
+	dws_value_unref(document);
+	return config;
+}
+
+/* Finds a kind by its name. */
+const dws_kind_t *dws_config_kind(const dws_config_t *config, const char *name)
+{
+	for (guint i = 0; i < config->kinds->len; i++) {
+		const dws_kind_t *kind =
+			&g_array_index(config->kinds, dws_kind_t, i);
+
+		if (!strcmp(kind->name, name))
+			return kind;
+	}
+	return NULL;
+}
+
+/* Finds a service by its name. */
+const dws_service_t *dws_config_service(const dws_config_t *config,
+					const char *name)
+{
+	for (guint i = 0; i < config->services->len; i++) {
+		const dws_service_t *service =
+			&g_array_index(config->services, dws_service_t, i);
+
+		if (!strcmp(service->name, name))
+			return service;
+	}
+	return NULL;
+}
--- a/src/version/config.h
+++ b/src/version/config.h
@@ -5,7 +5,7 @@
 #ifndef DWS_VERSION_CONFIG_H
 #define DWS_VERSION_CONFIG_H
 
-#include "dogwoodshift.h"
+#include "version/document.h"
 
 #define DWS_CONFIG_MAX_BYTES (1024 * 1024)
 #define DWS_NAME_SIZE 64
@@ -15,7 +15,7 @@
 	char name[DWS_NAME_SIZE];
 	char service[DWS_NAME_SIZE];
 	char method[16]; /* "" matches all */
-	char path_prefix[128]; /* after the service's part of the path */
+	char path_prefix[128]; /* after the service's part; whole segments */
 	uint8_t priority; /* 0 is refused first */
 	uint32_t worth; /* share among kinds of equal priority */
 	bool idempotent;
@@ -58,12 +58,19 @@
 dws_config_t *dws_config_parse(const char *text, size_t size_bytes,
 			       const char *name, uint64_t version,
 			       GError **error);
+/*
+ * The same from a parsed document. A name of NULL leaves lines out of the
+ * message, so that it depends on the document's values alone.
+ */
+dws_config_t *dws_config_build(const dws_value_t *document, const char *name,
+			       uint64_t version, GError **error);
 dws_config_t *dws_config_ref(dws_config_t *config);
 void dws_config_unref(dws_config_t *config);
 
 /*
  * Finds the kind of a request by service, method and longest path prefix.
- * The path is "/service/rest?query". NULL if none matches.
+ * The path is "/service/rest?query". NULL if none matches, or if the path is
+ * ambiguous: with empty or dot segments, or encoded slashes or dots.
  */
 const dws_kind_t *dws_config_match(const dws_config_t *config,
 				   const char *method, const char *path);
--- /dev/null
+++ b/src/version/config_read.h
@@ -0,0 +1,25 @@
+/*
+ * Reading of the parts of a configuration from its document.
+ */
+#ifndef DWS_VERSION_CONFIG_READ_H
+#define DWS_VERSION_CONFIG_READ_H
+
+#include "version/config.h"
+#include "version/fields.h"
+
+/* Reads one named entry of a map into the configuration. */
+typedef void (*dws_entry_reader_t)(dws_config_t *config,
+				   const dws_fields_t *fields,
+				   const char *name);
+
+/* Reads each entry of a map of named maps, in the order of the names. */
+void dws_config_read_entries(dws_config_t *config, const dws_fields_t *fields,
+			     const char *key, dws_entry_reader_t read);
+void dws_config_read_kind(dws_config_t *config, const dws_fields_t *fields,
+			  const char *name);
+/* Needs the kinds to be read before. */
+void dws_config_read_slowdown(dws_config_t *config, const dws_fields_t *fields,
+			      const char *name);
+void dws_slowdown_free(dws_slowdown_t *slowdown);
+
+#endif
--- /dev/null
+++ b/test/unit/test_document.c
@@ -0,0 +1,150 @@
+/*
+ * Documents: what the parser refuses, canonical text, and merge.
+ */
+#include <CUnit/Basic.h>
+#include "version/document.h"
+
+/* Parses a text that must be good. */
+static dws_value_t *parse(const char *text)
+{
+	GError *error = NULL;
+	dws_value_t *value =
+		dws_document_parse(text, strlen(text), "f", &error);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(value);
+	return value;
+}
+
+/* Checks that a text is refused with a message that holds some words. */
+static void assert_refused(const char *text, size_t size, const char *words)
+{
+	GError *error = NULL;
+
+	CU_ASSERT_PTR_NULL(dws_document_parse(text, size, "f", &error));
+	CU_ASSERT_TRUE(error && strstr(error->message, words));
+	g_clear_error(&error);
+}
+
+static void test_refused_texts(void)
+{
+	static const char *const cases[][2] = {
+		{"a: &x 1\nb: *x", "f:1: anchors are not allowed"},
+		{"a: *x", "f:1: aliases are not allowed"},
+		{"a: !!int 1", "f:1: tags are not allowed"},
+		{"a: !mine {}", "f:1: tags are not allowed"},
+		{"a: 1\nb: 2\na: 3", "f:3: a: duplicate key"},
+		{"? [a]\n: 1", "f:1: a key is no text"},
+		{"a: 1\n---\nb: 2", "f:2: a second document"},
+		{"", "f:1: the document is empty"},
+		{"# only a comment", "f:1: the document is empty"},
+		{"a: \"x\\0y\"", "f:1: a text holds a zero byte"},
+		{"a: 1\nb: [", "f:3: "},
+		{"a: \xff", "f:1: "},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		assert_refused(cases[i][0], strlen(cases[i][0]), cases[i][1]);
+}
+
+static void test_bounds(void)
+{
+	char *deep = g_strnfill(DWS_DOCUMENT_MAX_DEPTH + 1, '[');
+	char *large = g_strnfill(DWS_DOCUMENT_MAX_BYTES + 1, ' ');
+	GString *many = g_string_new("[");
+
+	for (int i = 0; i < DWS_DOCUMENT_MAX_VALUES; i++)
+		g_string_append(many, "1,");
+	g_string_append(many, "]");
+	assert_refused(deep, strlen(deep), "nested deeper than 32");
+	assert_refused(large, strlen(large), "over the limit of 1048576");
+	assert_refused(many->str, many->len, "more than 65536 values");
+	g_string_free(many, TRUE);
+	g_free(large);
+	g_free(deep);
+}
+
+/* Checks the canonical text, and that it is its own canonical text. */
+static void assert_canonical(const char *text, const char *expected)
+{
+	dws_value_t *value = parse(text);
+	char *canonical = dws_document_canonical(value);
+	dws_value_t *again = parse(canonical);
+	char *repeated = dws_document_canonical(again);
+
+	CU_ASSERT_STRING_EQUAL(canonical, expected);
+	CU_ASSERT_STRING_EQUAL(repeated, expected);
+	g_free(repeated);
+	dws_value_unref(again);
+	g_free(canonical);
+	dws_value_unref(value);
+}
+
+static void test_canonical_text(void)
+{
+	assert_canonical("{b: 2, a: {d: [1, {y: 1, x: 2}, [3]], c: {}}}",
+			 "a:\n  c: {}\n  d:\n    - 1\n    - x: 2\n"
+			 "      y: 1\n    - - 3\nb: 2\n");
+	assert_canonical("{a: ~, b: \"null\", c: '', d: \"~\", e: NULL}",
+			 "a: null\nb: \"null\"\nc: \"\"\nd: \"~\"\ne: null\n");
+	assert_canonical("{a: 'x: y # z', b: \"\\x07\\u2028\\U0001F600\"}",
+			 "a: \"x: y # z\"\nb: \"\\u0007\\u2028\\U0001F600\"\n");
+	assert_canonical("null: Co\xc3\xb6peratie",
+			 "\"null\": \"Co\xc3\xb6peratie\"\n");
+	assert_canonical("t: 2027-03-01T02:00:00Z\np: /a/b\nq: 'a:'",
+			 "p: /a/b\nq: \"a:\"\n"
+			 "t: 2027-03-01T02:00:00Z\n");
+}
+
+/* Checks the merge of two texts, and that it left its inputs alone. */
+static void assert_merged(const char *document, const char *patch,
+			  const char *expected)
+{
+	dws_value_t *base = parse(document);
+	dws_value_t *change = parse(patch);
+	char *before = dws_document_canonical(base);
+	dws_value_t *merged = dws_document_merge(base, change);
+	char *after = dws_document_canonical(base);
+	char *text = dws_document_canonical(merged);
+
+	CU_ASSERT_STRING_EQUAL(text, expected);
+	CU_ASSERT_STRING_EQUAL(before, after);
+	g_free(text);
+	g_free(after);
+	g_free(before);
+	dws_value_unref(merged);
+	dws_value_unref(change);
+	dws_value_unref(base);
+}
+
+/* The examples are of the kinds in RFC 7396, appendix A. */
+static void test_merge(void)
+{
+	assert_merged("{a: b}", "{a: c}", "a: c\n");
+	assert_merged("{a: b}", "{b: c}", "a: b\nb: c\n");
+	assert_merged("{a: b, b: c}", "{a: ~}", "b: c\n");
+	assert_merged("{a: [b]}", "{a: c}", "a: c\n");
+	assert_merged("{a: c}", "{a: [b]}", "a:\n  - b\n");
+	assert_merged("{a: {b: c}}", "{a: {b: d, c: null}}", "a:\n  b: d\n");
+	assert_merged("{a: [{b: c}]}", "{a: [1]}", "a:\n  - 1\n");
+	assert_merged("{a: b}", "[c]", "- c\n");
+	assert_merged("{e: null}", "{a: 1}", "a: 1\ne: null\n");
+	assert_merged("[1, 2]", "{a: b, c: null}", "a: b\n");
+	assert_merged("{}", "{a: {bb: {ccc: null}}}", "a:\n  bb: {}\n");
+	assert_merged("{a: 1}", "{a: 'null'}", "a: \"null\"\n");
+}
+
+int main(void)
+{
+	CU_initialize_registry();
+	CU_pSuite suite = CU_add_suite("document", NULL, NULL);
+
+	CU_add_test(suite, "refused", test_refused_texts);
+	CU_add_test(suite, "bounds", test_bounds);
+	CU_add_test(suite, "canonical", test_canonical_text);
+	CU_add_test(suite, "merge", test_merge);
+	CU_basic_run_tests();
+	unsigned int failures = CU_get_number_of_failures();
+
+	CU_cleanup_registry();
+	return failures ? 1 : 0;
+}
