--- /dev/null
+++ b/test/fuzz/fuzz_admission.c
@@ -0,0 +1,240 @@
+/*
+ * Admission against a table with the state of every request: none is lost or
+ * given twice, none starts beyond the limit, and none leaves for room or
+ * waits while a less urgent one is kept or started.
+ *
+ * Fuzz runs: 100000
+ */
+#include <string.h>
+#include "request/admission.h"
+
+#define SLOTS 3
+#define CAPACITY 4
+#define KINDS 3
+#define PRIORITIES 3
+#define MAX_REQUESTS 1400
+
+typedef enum state {
+	STATE_QUEUED,
+	STATE_RUNNING,
+	STATE_OVER,
+} state_t;
+
+typedef struct request {
+	dws_queue_item_t item;
+	state_t state;
+} request_t;
+
+typedef struct oracle {
+	request_t requests[MAX_REQUESTS]; /* the id less 1 is the index */
+	uint32_t count;
+	bool unlimited;
+	int64_t now_us;
+} oracle_t;
+
+static void require(bool holds)
+{
+	if (!holds)
+		abort();
+}
+
+static uint32_t count_state(const oracle_t *oracle, state_t state)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < oracle->count; i++)
+		count += oracle->requests[i].state == state;
+	return count;
+}
+
+/* Least urgent priority that is queued; PRIORITIES if none is. */
+static uint8_t lowest_queued(const oracle_t *oracle)
+{
+	uint8_t lowest = PRIORITIES;
+
+	for (uint32_t i = 0; i < oracle->count; i++) {
+		if (oracle->requests[i].state == STATE_QUEUED)
+			lowest = MIN(lowest, oracle->requests[i].item.priority);
+	}
+	return lowest;
+}
+
+/* Moves a request on; it has to be in the state that it leaves. */
+static request_t *move(oracle_t *oracle, uint64_t id, state_t from, state_t to)
+{
+	request_t *request;
+
+	require(id >= 1 && id <= oracle->count);
+	request = &oracle->requests[id - 1];
+	require(request->state == from);
+	request->state = to;
+	return request;
+}
+
+static void check_load(const dws_admission_t *admission, const oracle_t *oracle)
+{
+	dws_load_t load;
+
+	dws_admission_load(admission, &load);
+	require(load.queued == count_state(oracle, STATE_QUEUED));
+	require(load.running == count_state(oracle, STATE_RUNNING));
+	require(load.limit >= 1);
+	require(oracle->unlimited || load.limit <= SLOTS);
+	if (oracle->unlimited || load.queued < CAPACITY)
+		require(load.threshold == 0);
+	else
+		require(load.threshold == lowest_queued(oracle));
+}
+
+static void offer(dws_admission_t *admission, oracle_t *oracle, uint8_t a,
+		  uint8_t b)
+{
+	uint32_t queued = count_state(oracle, STATE_QUEUED);
+	uint8_t lowest = lowest_queued(oracle);
+	request_t *request = &oracle->requests[oracle->count];
+	uint64_t displaced;
+
+	request->item = (dws_queue_item_t){
+		.id = oracle->count + 1,
+		.kind = a % KINDS,
+		.priority = (a / KINDS) % PRIORITIES,
+		.worth = 1 + a % KINDS,
+		.enqueued_us = oracle->now_us,
+		.deadline_us = oracle->now_us + b * 2 * DWS_US_PER_MS,
+	};
+	request->state = STATE_OVER;
+	oracle->count++;
+	if (!dws_admission_offer(admission, oracle->now_us, &request->item,
+				 &displaced)) {
+		require(!oracle->unlimited && displaced == 0);
+		require(b == 0 || (queued == CAPACITY &&
+				   request->item.priority <= lowest));
+		return;
+	}
+	if (displaced) {
+		require(queued == CAPACITY);
+		request_t *victim =
+			move(oracle, displaced, STATE_QUEUED, STATE_OVER);
+
+		require(victim->item.priority == lowest);
+		require(victim->item.priority <= request->item.priority);
+	}
+	request->state = STATE_QUEUED;
+}
+
+static void start(dws_admission_t *admission, oracle_t *oracle)
+{
+	uint32_t running = count_state(oracle, STATE_RUNNING);
+	bool any = count_state(oracle, STATE_QUEUED) > 0;
+	dws_queue_item_t item;
+	dws_load_t load;
+	bool started;
+
+	dws_admission_load(admission, &load);
+	started = dws_admission_start(admission, oracle->now_us, &item);
+	require(started == (any && running < load.limit));
+	if (!started)
+		return;
+	move(oracle, item.id, STATE_QUEUED, STATE_RUNNING);
+	for (uint32_t i = 0; i < oracle->count; i++) {
+		require(oracle->requests[i].state != STATE_QUEUED ||
+			oracle->requests[i].item.priority <= item.priority);
+	}
+}
+
+/* What leaves for its time has waited at least half of it. */
+static void expire(dws_admission_t *admission, oracle_t *oracle)
+{
+	dws_queue_item_t item;
+
+	while (dws_admission_expire(admission, oracle->now_us, &item)) {
+		require(!oracle->unlimited);
+		move(oracle, item.id, STATE_QUEUED, STATE_OVER);
+		require(2 * (oracle->now_us - item.enqueued_us) >=
+			item.deadline_us - item.enqueued_us);
+	}
+	require(dws_admission_wake_us(admission) > oracle->now_us);
+	for (uint32_t i = 0; i < oracle->count && !oracle->unlimited; i++)
+		require(oracle->requests[i].state != STATE_QUEUED ||
+			oracle->requests[i].item.deadline_us > oracle->now_us);
+}
+
+/* Picks a request in a state; 0 if there is none. */
+static uint64_t pick(const oracle_t *oracle, state_t state, uint8_t from)
+{
+	for (uint32_t i = 0; i < oracle->count; i++) {
+		uint32_t index = (i + from) % oracle->count;
+
+		if (oracle->requests[index].state == state)
+			return index + 1;
+	}
+	return 0;
+}
+
+static void end(dws_admission_t *admission, oracle_t *oracle, uint8_t a,
+		uint8_t b)
+{
+	uint64_t id = pick(oracle, STATE_RUNNING, a);
+
+	if (id)
+		move(oracle, id, STATE_RUNNING, STATE_OVER);
+	dws_admission_end(admission, oracle->now_us, id, b * DWS_US_PER_MS,
+			  a % 8 == 0);
+}
+
+static void cancel(dws_admission_t *admission, oracle_t *oracle, uint8_t a)
+{
+	uint64_t id = pick(oracle, a % 2 ? STATE_QUEUED : STATE_RUNNING, a);
+	bool queued = id && oracle->requests[id - 1].state == STATE_QUEUED;
+
+	require(dws_admission_cancel(admission, id) == queued);
+	if (queued)
+		move(oracle, id, STATE_QUEUED, STATE_OVER);
+}
+
+static void step(dws_admission_t *admission, oracle_t *oracle,
+		 const uint8_t *input)
+{
+	switch (input[0] % 8) {
+	case 0:
+	case 1:
+	case 2:
+		offer(admission, oracle, input[1], input[2]);
+		break;
+	case 3:
+	case 4:
+		start(admission, oracle);
+		break;
+	case 5:
+		end(admission, oracle, input[1], input[2]);
+		break;
+	case 6:
+		cancel(admission, oracle, input[1]);
+		break;
+	default:
+		oracle->now_us += input[1] * DWS_US_PER_MS;
+		expire(admission, oracle);
+		break;
+	}
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size_bytes);
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size_bytes)
+{
+	static const char *const policies[] = {"adaptive", "fixed", "none"};
+	static oracle_t oracle;
+	dws_admission_t admission;
+
+	if (size_bytes < 1)
+		return 0;
+	memset(&oracle, 0, sizeof(oracle));
+	oracle.unlimited = data[0] % 3 == 2;
+	dws_admission_init(&admission, policies[data[0] % 3], SLOTS, CAPACITY);
+	for (size_t i = 1; i + 2 < size_bytes; i += 3) {
+		step(&admission, &oracle, data + i);
+		check_load(&admission, &oracle);
+	}
+	dws_admission_finish(&admission);
+	return 0;
+}
