Split what the membership receives from what it sends

Cause: one file of 750 lines held probes, answers and notices. What: receiving and notices move to files of their own, without a change in behaviour; two findings of clang-tidy are mended.

--- a/src/process/membership_wire.c
+++ b/src/process/membership_wire.c
@@ -31,7 +31,7 @@
 			return false;
 	}
 	memset(to, 0, DWS_ID_SIZE);
-	memcpy(to, from, length);
+	g_strlcpy(to, from, DWS_ID_SIZE);
 	return true;
 }
 
--- a/src/process/membership_wire.h
+++ b/src/process/membership_wire.h
@@ -42,5 +42,16 @@
 bool dws_membership_wire_parse(dws_membership_probe_t *probe,
 			       const uint8_t *data, size_t size_bytes,
 			       GError **error);
+/* The next number of a probe; never 0. */
+uint32_t dws_membership_next_sequence(dws_membership_t *membership);
+/*
+ * Sends a notice to a few members of each zone. The subject, if it is not
+ * NULL, is the member whose claim goes along.
+ */
+void dws_membership_send_notices(dws_membership_t *membership,
+				 dws_membership_entry_t *subject);
+/* Passes news of a leaving on at once, within the interval's credit. */
+void dws_membership_forward_leaving(dws_membership_t *membership,
+				    dws_membership_entry_t *entry);
 
 #endif
