--- /dev/null
+++ b/src/connection/envelope.c
@@ -0,0 +1,161 @@
+/*
+ * Frames between daemons: checks on what came in, texts on what goes out.
+ */
+#include "connection/envelope.h"
+#include <string.h>
+
+/* Compares IP numbers, as text, and ports. */
+bool dws_address_equal(const dws_address_t *a, const dws_address_t *b)
+{
+	return a->port == b->port && strcmp(a->ip, b->ip) == 0;
+}
+
+/* Wraps a message (its oneof case and member set) and sends it. */
+void dws_envelope_send(dws_node_t *node, const dws_address_t *to,
+		       uint64_t to_epoch, Dws__Envelope *envelope)
+{
+	const dws_settings_t *settings = node->settings;
+
+	envelope->from_vm = (char *)settings->vm_id;
+	envelope->from_epoch = node->epoch;
+	envelope->from_ip = (char *)settings->frame_listen.ip;
+	envelope->from_port = settings->frame_listen.port;
+	envelope->leaving = node->draining;
+	envelope->to_epoch = to_epoch;
+	size_t size_bytes = dws__envelope__get_packed_size(envelope);
+	uint8_t *data = g_malloc(size_bytes);
+
+	dws__envelope__pack(envelope, data);
+	node->io->ops->send_frame(node->io, to, data, size_bytes);
+	g_free(data);
+}
+
+static bool is_text(const char *text, size_t limit)
+{
+	return text[0] != '\0' && strlen(text) < limit;
+}
+
+/*
+ * Unpacks and checks a frame. NULL with DWS_ERROR_FRAME if it is malformed.
+ */
+Dws__Envelope *dws_envelope_parse(const uint8_t *data, size_t size_bytes,
+				  dws_origin_t *origin, GError **error)
+{
+	Dws__Envelope *envelope = dws__envelope__unpack(NULL, size_bytes, data);
+
+	if (!envelope || envelope->body_case == DWS__ENVELOPE__BODY__NOT_SET ||
+	    !is_text(envelope->from_vm, sizeof(origin->vm_id)) ||
+	    !is_text(envelope->from_ip, sizeof(origin->frame.ip)) ||
+	    envelope->from_port == 0 || envelope->from_port > UINT16_MAX ||
+	    envelope->from_epoch == 0) {
+		g_set_error(error, DWS_ERROR, DWS_ERROR_FRAME,
+			    "frame of %zu bytes: not a message of this "
+			    "system; check that the peer is a daemon of this "
+			    "version",
+			    size_bytes);
+		if (envelope)
+			dws__envelope__free_unpacked(envelope, NULL);
+		return NULL;
+	}
+	g_strlcpy(origin->vm_id, envelope->from_vm, sizeof(origin->vm_id));
+	g_strlcpy(origin->frame.ip, envelope->from_ip,
+		  sizeof(origin->frame.ip));
+	origin->frame.port = (uint16_t)envelope->from_port;
+	origin->epoch = envelope->from_epoch;
+	return envelope;
+}
+
+/* Writes a context for the wire. Texts and the id point into the source. */
+void dws_context_to_wire(const dws_node_t *node, const dws_context_t *context,
+			 Dws__Context *wire)
+{
+	int64_t remaining_us = context->deadline_us - node->now_us;
+
+	dws__context__init(wire);
+	wire->trace_id.data = (uint8_t *)context->trace_id;
+	wire->trace_id.len = sizeof(context->trace_id);
+	wire->parent_span = context->parent_span;
+	wire->customer = (char *)context->customer;
+	wire->remaining_us = (uint32_t)CLAMP(remaining_us, 0, UINT32_MAX);
+	wire->retry_tokens = context->tokens;
+	wire->hop = context->hop;
+	wire->retried = context->retried;
+	wire->home_vm = (char *)context->home_vm;
+	wire->home_epoch = context->home_epoch;
+	wire->root_serial = context->root_serial;
+	wire->place = context->place;
+}
+
+/*
+ * Reads and checks a context. The time that the message may have waited
+ * unread is taken off its remaining time. False if it is malformed.
+ */
+bool dws_context_from_wire(const dws_node_t *node, const Dws__Context *wire,
+			   int64_t waited_us, dws_context_t *context)
+{
+	memset(context, 0, sizeof(*context));
+	if (!wire || wire->trace_id.len != sizeof(context->trace_id) ||
+	    strlen(wire->customer) >= sizeof(context->customer) ||
+	    !is_text(wire->home_vm, sizeof(context->home_vm)) ||
+	    wire->home_epoch == 0 || wire->hop > DWS_MAX_HOPS)
+		return false;
+	memcpy(context->trace_id, wire->trace_id.data,
+	       sizeof(context->trace_id));
+	context->parent_span = wire->parent_span;
+	g_strlcpy(context->customer, wire->customer, sizeof(context->customer));
+	context->deadline_us = node->now_us + wire->remaining_us - waited_us;
+	context->tokens = wire->retry_tokens;
+	context->hop = wire->hop;
+	context->retried = wire->retried;
+	g_strlcpy(context->home_vm, wire->home_vm, sizeof(context->home_vm));
+	context->home_epoch = wire->home_epoch;
+	context->root_serial = wire->root_serial;
+	context->place = wire->place;
+	return true;
+}
+
+/* Writes a payload for the wire, pointing into the source. */
+void dws_payload_to_wire(const dws_payload_t *payload, Dws__Request *wire)
+{
+	gsize size_bytes = 0;
+
+	dws__request__init(wire);
+	wire->method = payload->method;
+	wire->path = payload->path;
+	wire->content_type = payload->content_type;
+	wire->body.data =
+		(uint8_t *)g_bytes_get_data(payload->body, &size_bytes);
+	wire->body.len = size_bytes;
+}
+
+/* Copies a payload of the wire. False if it is malformed. */
+bool dws_payload_from_wire(const Dws__Request *wire, dws_payload_t *payload)
+{
+	if (!wire || wire->method[0] == '\0' || wire->path[0] != '/')
+		return false;
+	payload->method = g_strdup(wire->method);
+	payload->path = g_strdup(wire->path);
+	payload->content_type = g_strdup(wire->content_type);
+	payload->body = g_bytes_new(wire->body.data, wire->body.len);
+	return true;
+}
+
+/* Frees what a payload holds. */
+void dws_payload_finish(dws_payload_t *payload)
+{
+	g_free(payload->method);
+	g_free(payload->path);
+	g_free(payload->content_type);
+	if (payload->body)
+		g_bytes_unref(payload->body);
+	memset(payload, 0, sizeof(*payload));
+}
+
+/* Copies a payload; the body is shared. */
+void dws_payload_copy(dws_payload_t *to, const dws_payload_t *from)
+{
+	to->method = g_strdup(from->method);
+	to->path = g_strdup(from->path);
+	to->content_type = g_strdup(from->content_type);
+	to->body = g_bytes_ref(from->body);
+}
--- /dev/null
+++ b/src/connection/reply.c
@@ -0,0 +1,91 @@
+/*
+ * Replies between daemons, to and from the wire.
+ */
+#include "connection/reply.h"
+
+/* A new reply without an answer; freed with dws_reply_free(). */
+dws_reply_t *dws_reply_new(uint64_t id, dws_outcome_t outcome,
+			   dws_reason_t reason)
+{
+	dws_reply_t *reply = g_new0(dws_reply_t, 1);
+
+	reply->id = id;
+	reply->outcome = outcome;
+	reply->reason = reason;
+	return reply;
+}
+
+/* Frees a reply; NULL is ignored. */
+void dws_reply_free(dws_reply_t *reply)
+{
+	if (!reply)
+		return;
+	g_free(reply->content_type);
+	g_free(reply->detail);
+	if (reply->body)
+		g_bytes_unref(reply->body);
+	g_free(reply);
+}
+
+/* Sends a reply to the process that asked. */
+void dws_reply_send(dws_node_t *node, const dws_origin_t *to,
+		    const dws_reply_t *reply)
+{
+	Dws__Envelope envelope = DWS__ENVELOPE__INIT;
+	Dws__Answer answer = DWS__ANSWER__INIT;
+	Dws__Load load = DWS__LOAD__INIT;
+	gsize size_bytes = 0;
+
+	load.threshold = reply->load.threshold;
+	load.running = reply->load.running;
+	load.queued = reply->load.queued;
+	load.limit = reply->load.limit;
+	answer.id = reply->id;
+	answer.to_submit = reply->to_submit;
+	answer.outcome = (Dws__Outcome)reply->outcome;
+	answer.reason = reply->reason;
+	answer.status = reply->status;
+	answer.tokens_returned = reply->tokens;
+	answer.load = &load;
+	answer.retry_after_ms = reply->retry_after_ms;
+	answer.running = reply->is_running;
+	if (reply->content_type)
+		answer.content_type = reply->content_type;
+	if (reply->detail)
+		answer.detail = reply->detail;
+	if (reply->body)
+		answer.body.data =
+			(uint8_t *)g_bytes_get_data(reply->body, &size_bytes);
+	answer.body.len = size_bytes;
+	envelope.body_case = DWS__ENVELOPE__BODY_ANSWER;
+	envelope.answer = &answer;
+	dws_envelope_send(node, &to->frame, to->epoch, &envelope);
+}
+
+/* Copies an answer of the wire; NULL if it is malformed. */
+dws_reply_t *dws_reply_from_wire(const Dws__Answer *wire)
+{
+	if (wire->outcome < 0 || wire->outcome > DWS__OUTCOME__UNKNOWN ||
+	    wire->reason >= DWS_REASON_COUNT || wire->status > 999)
+		return NULL;
+	dws_reply_t *reply =
+		dws_reply_new(wire->id, (dws_outcome_t)wire->outcome,
+			      (dws_reason_t)wire->reason);
+
+	reply->to_submit = wire->to_submit;
+	reply->status = (uint16_t)wire->status;
+	reply->tokens = wire->tokens_returned;
+	reply->retry_after_ms = wire->retry_after_ms;
+	reply->is_running = wire->running;
+	reply->content_type = g_strdup(wire->content_type);
+	reply->detail = g_strdup(wire->detail);
+	reply->body = g_bytes_new(wire->body.data, wire->body.len);
+	if (wire->load) {
+		reply->load.threshold =
+			(uint8_t)MIN(wire->load->threshold, UINT8_MAX);
+		reply->load.running = wire->load->running;
+		reply->load.queued = wire->load->queued;
+		reply->load.limit = wire->load->limit;
+	}
+	return reply;
+}
--- a/src/connection/wire.pb-c.c
+++ b/src/connection/wire.pb-c.c
@@ -1082,7 +1082,7 @@
   (ProtobufCMessageInit) dws__execute__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dws__submit__field_descriptors[4] =
+static const ProtobufCFieldDescriptor dws__submit__field_descriptors[5] =
 {
   {
     "call_id",
@@ -1132,17 +1132,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "priority",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dws__Submit, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dws__submit__field_indices_by_name[] = {
   0,   /* field[0] = call_id */
   1,   /* field[1] = context */
+  4,   /* field[4] = priority */
   2,   /* field[2] = request */
   3,   /* field[3] = ticket */
 };
 static const ProtobufCIntRange dws__submit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor dws__submit__descriptor =
 {
@@ -1152,7 +1165,7 @@
   "Dws__Submit",
   "dws",
   sizeof(Dws__Submit),
-  4,
+  5,
   dws__submit__field_descriptors,
   dws__submit__field_indices_by_name,
   1,  dws__submit__number_ranges,
--- a/src/connection/wire.pb-c.h
+++ b/src/connection/wire.pb-c.h
@@ -124,10 +124,11 @@
   Dws__Context *context;
   Dws__Request *request;
   char *ticket;
+  uint32_t priority;
 };
 #define DWS__SUBMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dws__submit__descriptor) \
-    , 0, NULL, NULL, (char *)protobuf_c_empty_string }
+    , 0, NULL, NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Dws__Cancel
--- /dev/null
+++ b/src/process/describe.c
@@ -0,0 +1,245 @@
+/*
+ * What a node tells operators, as JSON.
+ */
+#include "process/node_internal.h"
+#include <string.h>
+
+static const char *const state_names[] = {
+	[DWS_MEMBER_ALIVE] = "alive",
+	[DWS_MEMBER_SUSPECT] = "suspect",
+	[DWS_MEMBER_LEAVING] = "leaving",
+	[DWS_MEMBER_DEAD] = "dead",
+};
+
+/* Appends a text in quotes, with what JSON asks to escape. */
+static void append_text(GString *json, const char *text)
+{
+	g_string_append_c(json, '"');
+	for (const char *c = text ? text : ""; *c; c++) {
+		if (*c == '"' || *c == '\\')
+			g_string_append_printf(json, "\\%c", *c);
+		else if ((unsigned char)*c < ' ')
+			g_string_append_printf(json, "\\u%04x",
+					       (unsigned char)*c);
+		else
+			g_string_append_c(json, *c);
+	}
+	g_string_append_c(json, '"');
+}
+
+static void append_text_field(GString *json, const char *name, const char *text)
+{
+	g_string_append_printf(json, "\"%s\":", name);
+	append_text(json, text);
+	g_string_append_c(json, ',');
+}
+
+static void append_number(GString *json, const char *name, uint64_t number)
+{
+	g_string_append_printf(json, "\"%s\":%" G_GUINT64_FORMAT ",", name,
+			       number);
+}
+
+static void append_flag(GString *json, const char *name, bool flag)
+{
+	g_string_append_printf(json, "\"%s\":%s,", name,
+			       flag ? "true" : "false");
+}
+
+/* Replaces the comma after the last element by a closing bracket. */
+static void close_list(GString *json, char bracket)
+{
+	if (json->str[json->len - 1] == ',')
+		json->str[json->len - 1] = bracket;
+	else
+		g_string_append_c(json, bracket);
+}
+
+static void append_version(GString *json, const dws_node_t *node)
+{
+	const uint8_t *digest = dws_fold_digest(node->fold);
+	char text[2 * DWS_DIGEST_SIZE + 1];
+
+	for (int i = 0; i < DWS_DIGEST_SIZE; i++)
+		g_snprintf(text + 2 * i, 3, "%02x", digest[i]);
+	append_number(json, "sequence", dws_fold_sequence(node->fold));
+	append_number(json, "version", dws_fold_version(node->fold));
+	append_text_field(json, "digest", text);
+}
+
+static uint32_t count_alive(const dws_node_t *node)
+{
+	const GPtrArray *all = dws_membership_all(node->membership);
+	uint32_t alive = 0;
+
+	for (guint i = 0; i < all->len; i++) {
+		const dws_member_t *member = all->pdata[i];
+
+		alive += member->state == DWS_MEMBER_ALIVE;
+	}
+	return alive;
+}
+
+static uint32_t count_held(const dws_node_t *node)
+{
+	GHashTableIter iter;
+	gpointer queue;
+	uint32_t held = 0;
+
+	g_hash_table_iter_init(&iter, node->holds);
+	while (g_hash_table_iter_next(&iter, NULL, &queue))
+		held += dws_queue_length(queue);
+	return held;
+}
+
+static void describe_status(GString *json, const dws_node_t *node)
+{
+	dws_load_t load;
+
+	dws_admission_load(&node->admission, &load);
+	append_text_field(json, "vm_id", node->settings->vm_id);
+	append_text_field(json, "zone", node->settings->zone);
+	append_text_field(json, "region", node->settings->region);
+	append_text_field(json, "service", node->settings->service);
+	append_version(json, node);
+	append_flag(json, "open", dws_node_is_open(node));
+	append_flag(json, "draining", node->draining);
+	append_flag(json, "reader", dws_membership_is_reader(node->membership));
+	append_number(json, "vms_revision",
+		      dws_membership_revision(node->membership));
+	append_number(json, "members_alive", count_alive(node));
+	append_number(json, "limit", load.limit);
+	append_number(json, "running", load.running);
+	append_number(json, "queued", load.queued);
+	append_number(json, "threshold", load.threshold);
+	append_number(json, "held", count_held(node));
+	append_number(json, "requests", g_hash_table_size(node->requests));
+	append_number(json, "attempts", g_hash_table_size(node->attempts));
+	append_number(json, "ledger", dws_ledger_size(&node->ledger));
+	if (node->config_confirmed_us != DWS_NEVER_CONFIRMED)
+		append_number(
+			json, "config_age_ms",
+			(uint64_t)((node->now_us - node->config_confirmed_us) /
+				   DWS_US_PER_MS));
+}
+
+static void describe_members(GString *json, const dws_node_t *node)
+{
+	const GPtrArray *all = dws_membership_all(node->membership);
+
+	g_string_append(json, "\"members\":[");
+	for (guint i = 0; i < all->len; i++) {
+		const dws_member_t *member = all->pdata[i];
+
+		g_string_append_c(json, '{');
+		append_text_field(json, "vm_id", member->vm_id);
+		append_text_field(json, "zone", member->zone);
+		append_text_field(json, "service", member->service);
+		append_text_field(json, "state", state_names[member->state]);
+		append_text_field(json, "ip", member->frame.ip);
+		append_number(json, "frame_port", member->frame.port);
+		append_number(json, "incarnation", member->incarnation);
+		append_flag(json, "listed", member->listed);
+		close_list(json, '}');
+		g_string_append_c(json, ',');
+	}
+	close_list(json, ']');
+	g_string_append_c(json, ',');
+}
+
+static void describe_config(GString *json, const dws_node_t *node)
+{
+	char *document = dws_fold_document(node->fold);
+
+	append_version(json, node);
+	append_text_field(json, "document", document);
+	g_free(document);
+}
+
+static void describe_verdicts(GString *json, const dws_node_t *node)
+{
+	const GArray *verdicts = dws_fold_verdicts(node->fold);
+
+	append_version(json, node);
+	g_string_append(json, "\"verdicts\":[");
+	for (guint i = 0; i < verdicts->len; i++) {
+		const dws_verdict_t *verdict =
+			&g_array_index(verdicts, dws_verdict_t, i);
+
+		g_string_append_c(json, '{');
+		append_number(json, "sequence", verdict->sequence);
+		append_number(json, "base_version", verdict->base_version);
+		append_flag(json, "accepted", verdict->accepted);
+		append_text_field(json, "reason", verdict->reason);
+		close_list(json, '}');
+		g_string_append_c(json, ',');
+	}
+	close_list(json, ']');
+	g_string_append_c(json, ',');
+}
+
+static void append_customers(GString *json, const dws_slowdown_t *slowdown,
+			     bool called)
+{
+	g_string_append_printf(json, "\"%s\":[", called ? "called" : "to_call");
+	for (guint i = 0; i < slowdown->customers->len; i++) {
+		const char *customer = slowdown->customers->pdata[i];
+
+		if (g_hash_table_contains(slowdown->called, customer) != called)
+			continue;
+		append_text(json, customer);
+		g_string_append_c(json, ',');
+	}
+	close_list(json, ']');
+	g_string_append_c(json, ',');
+}
+
+static void describe_slowdowns(GString *json, const dws_node_t *node)
+{
+	const dws_config_t *config = dws_fold_config(node->fold);
+
+	append_version(json, node);
+	g_string_append(json, "\"slowdowns\":[");
+	for (guint i = 0; config && i < config->slowdowns->len; i++) {
+		const dws_slowdown_t *slowdown = config->slowdowns->pdata[i];
+
+		g_string_append_c(json, '{');
+		append_text_field(json, "name", slowdown->name);
+		append_number(json, "start_ms", (uint64_t)slowdown->start_ms);
+		append_number(json, "end_ms", (uint64_t)slowdown->end_ms);
+		append_number(json, "added_delay_ms", slowdown->added_delay_ms);
+		append_customers(json, slowdown, true);
+		append_customers(json, slowdown, false);
+		close_list(json, '}');
+		g_string_append_c(json, ',');
+	}
+	close_list(json, ']');
+	g_string_append_c(json, ',');
+}
+
+typedef struct dws_view {
+	const char *name;
+	void (*describe)(GString *json, const dws_node_t *node);
+} dws_view_t;
+
+static const dws_view_t views[] = {
+	{"status", describe_status},	   {"members", describe_members},
+	{"config", describe_config},	   {"verdicts", describe_verdicts},
+	{"slowdowns", describe_slowdowns},
+};
+
+/* Describes the node for operators; freed with g_free(). */
+char *dws_node_describe(dws_node_t *node, int64_t now_us, const char *view)
+{
+	node->now_us = MAX(node->now_us, now_us);
+	for (size_t i = 0; i < G_N_ELEMENTS(views); i++) {
+		if (strcmp(views[i].name, view) != 0)
+			continue;
+		GString *json = g_string_new("{");
+
+		views[i].describe(json, node);
+		close_list(json, '}');
+		return g_string_free(json, false);
+	}
+	return NULL;
+}
--- /dev/null
+++ b/src/process/node.c
@@ -0,0 +1,546 @@
+/*
+ * A node: the parts of a daemon's decisions, put together.
+ */
+#include "process/node_internal.h"
+#include "connection/envelope.h"
+#include "connection/reply.h"
+#include "request/attempt.h"
+#include "request/request.h"
+#include "version/spread.h"
+#include <stdarg.h>
+#include <string.h>
+
+/* A node is called at least so often, so a longer silence is a pause. */
+#define TICK_MAX_US (250 * DWS_US_PER_MS)
+#define PAUSE_US (1 * DWS_US_PER_S)
+/* After a start or a pause, how long news is waited for at most. */
+#define CATCH_UP_US (1500 * DWS_US_PER_MS)
+/* Frames that come this soon after a pause may have waited all through it. */
+#define GAP_FRAMES_US (100 * DWS_US_PER_MS)
+#define STORED_BYTES_MAX (24 * 1024 * 1024)
+/* Answers that nobody acknowledges hold a drain up no longer than this. */
+#define DRAIN_ANSWERS_US (2 * DWS_US_PER_S)
+
+/* The memory that a node takes. */
+size_t dws_node_size_bytes(void)
+{
+	return sizeof(dws_node_t);
+}
+
+/* A number that this process has not used for a request or attempt. */
+uint64_t dws_node_next_id(dws_node_t *node)
+{
+	return ++node->next_id;
+}
+
+/* A random number that is not 0. */
+uint64_t dws_node_random(dws_node_t *node)
+{
+	uint64_t value = (uint64_t)g_rand_int(node->random) << 32 |
+			 g_rand_int(node->random);
+
+	return value ? value : 1;
+}
+
+/* Writes an event with key=value fields. */
+void dws_node_log(dws_node_t *node, dws_log_level_t level, const char *event,
+		  const char *format, ...)
+{
+	va_list arguments;
+
+	va_start(arguments, format);
+	char *fields = g_strdup_vprintf(format, arguments);
+
+	va_end(arguments);
+	node->io->ops->log(node->io, level, event, fields);
+	g_free(fields);
+}
+
+/*
+ * True once the node may take new work: a configuration is known, and after
+ * a start or a pause the platform or a peer was heard, or a time has passed.
+ */
+bool dws_node_is_open(const dws_node_t *node)
+{
+	if (!dws_fold_config(node->fold))
+		return false;
+	if (node->now_us >= node->catch_up_until_us)
+		return true;
+	return false;
+}
+
+static void send_datagram(void *context, const dws_address_t *to,
+			  const uint8_t *data, size_t size_bytes)
+{
+	dws_node_t *node = context;
+
+	node->io->ops->send_datagram(node->io, to, data, size_bytes);
+}
+
+static void member_changed(void *context, const dws_member_t *member)
+{
+	dws_node_t *node = context;
+
+	dws_node_log(
+		node, DWS_LOG_INFO, "member",
+		"vm=%s zone=%s service=%s state=%d epoch=%" G_GINT64_MODIFIER
+		"x",
+		member->vm_id, member->zone, member->service,
+		(int)member->state, member->epoch);
+	dws_request_member_changed(node, member);
+}
+
+static void claimed(void *context, const dws_address_t *frame,
+		    const dws_claim_t *claim)
+{
+	dws_spread_on_claim(context, frame, claim);
+}
+
+static const dws_membership_ops_t membership_ops = {
+	.send = send_datagram,
+	.changed = member_changed,
+	.claimed = claimed,
+};
+
+static void init_tables(dws_node_t *node)
+{
+	node->requests = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       NULL, dws_request_free);
+	node->sent = g_hash_table_new(g_int64_hash, g_int64_equal);
+	node->attempts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       NULL, dws_attempt_free);
+	node->attempts_by_remote =
+		g_hash_table_new(dws_remote_id_hash, dws_remote_id_equal);
+	node->submits = g_hash_table_new_full(
+		dws_remote_id_hash, dws_remote_id_equal, g_free, NULL);
+	node->fences = g_hash_table_new_full(dws_remote_id_hash,
+					     dws_remote_id_equal, g_free, NULL);
+	node->holds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    (GDestroyNotify)dws_queue_free);
+	node->held_kinds =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	node->local_replies = g_queue_new();
+}
+
+/* Starts a node; see dogwoodshift.h. */
+void dws_node_init(dws_node_t *node, const dws_settings_t *settings,
+		   dws_io_t *io, uint64_t epoch, uint64_t seed, int64_t now_us,
+		   int64_t wall_ms)
+{
+	memset(node, 0, sizeof(*node));
+	node->settings = settings;
+	node->io = io;
+	node->epoch = epoch ? epoch : 1;
+	node->random = g_rand_new_with_seed((guint32)(seed ^ seed >> 32));
+	node->now_us = now_us;
+	node->wall_offset_ms = wall_ms - now_us / DWS_US_PER_MS;
+	node->gap_seen_us = now_us - CATCH_UP_US;
+	node->catch_up_until_us = now_us + CATCH_UP_US;
+	node->config_confirmed_us = DWS_NEVER_CONFIRMED;
+	dws_counters_init(&node->counters);
+	dws_timers_init(&node->timers);
+	dws_ticket_mint_init(&node->mint, settings->vm_id, node->epoch, seed,
+			     now_us, settings->ticket_ttl_ms * DWS_US_PER_MS);
+	dws_ledger_init(&node->ledger, settings->max_ledger_entries,
+			STORED_BYTES_MAX);
+	init_tables(node);
+	dws_admission_init(&node->admission, settings->policy,
+			   settings->upstream_slots, settings->max_queue);
+	node->fold = dws_fold_new();
+	node->membership =
+		dws_membership_new(settings, &membership_ops, node, node->epoch,
+				   dws_node_random(node), now_us, wall_ms);
+	node->routing =
+		dws_routing_new(node->membership, dws_node_random(node));
+	dws_spread_set_claim(node);
+}
+
+static void free_reply(gpointer reply)
+{
+	dws_reply_free(reply);
+}
+
+/* Frees all that the node owns. */
+void dws_node_finish(dws_node_t *node)
+{
+	dws_routing_free(node->routing);
+	dws_membership_free(node->membership);
+	dws_fold_free(node->fold);
+	dws_admission_finish(&node->admission);
+	g_queue_free_full(node->local_replies, free_reply);
+	g_hash_table_destroy(node->held_kinds);
+	g_hash_table_destroy(node->holds);
+	g_hash_table_destroy(node->fences);
+	g_hash_table_destroy(node->submits);
+	g_hash_table_destroy(node->attempts_by_remote);
+	g_hash_table_destroy(node->attempts);
+	g_hash_table_destroy(node->sent);
+	g_hash_table_destroy(node->requests);
+	dws_ledger_finish(&node->ledger);
+	dws_timers_finish(&node->timers);
+	g_rand_free(node->random);
+}
+
+/* Takes the time of an input; a long silence means the process was paused. */
+static void enter(dws_node_t *node, int64_t now_us)
+{
+	int64_t silence_us = now_us - node->now_us;
+
+	node->now_us = MAX(now_us, node->now_us);
+	if (silence_us < PAUSE_US)
+		return;
+	dws_count(node, DWS_COUNT_LOOP_GAPS);
+	node->gap_us = silence_us;
+	node->gap_seen_us = node->now_us;
+	node->catch_up_until_us = node->now_us + CATCH_UP_US;
+	dws_node_log(node, DWS_LOG_WARNING, "paused",
+		     "duration_ms=%" G_GINT64_FORMAT,
+		     (int64_t)(silence_us / DWS_US_PER_MS));
+}
+
+/* How long a message that is read now may have waited unread. */
+int64_t dws_node_waited_us(const dws_node_t *node)
+{
+	if (node->now_us - node->gap_seen_us > GAP_FRAMES_US)
+		return 0;
+	return node->gap_us;
+}
+
+static void take_local_reply(dws_node_t *node)
+{
+	dws_reply_t *reply = g_queue_pop_head(node->local_replies);
+	dws_origin_t self = {.epoch = node->epoch};
+
+	g_strlcpy(self.vm_id, node->settings->vm_id, sizeof(self.vm_id));
+	dws_request_on_reply(node, &self, reply);
+	dws_reply_free(reply);
+}
+
+/* Does what an input made possible, until nothing is left to do. */
+static void leave(dws_node_t *node)
+{
+	do {
+		while (!g_queue_is_empty(node->local_replies))
+			take_local_reply(node);
+		dws_attempt_pump(node);
+		if (node->holds_dirty) {
+			node->holds_dirty = false;
+			dws_request_pump_holds(node);
+		}
+	} while (!g_queue_is_empty(node->local_replies) || node->holds_dirty);
+}
+
+static void fire(dws_node_t *node, const dws_timer_t *timer)
+{
+	dws_remote_id_t fence = {.epoch = timer->id, .id = timer->place};
+	dws_ledger_key_t key = {.serial = timer->id, .place = timer->place};
+
+	switch (timer->kind) {
+	case DWS_TIMER_REQUEST_DEADLINE:
+		dws_request_on_deadline(node, timer->id);
+		return;
+	case DWS_TIMER_REQUEST_ROUTE:
+		dws_request_on_route_timer(node, timer->id);
+		return;
+	case DWS_TIMER_ATTEMPT_RESEND:
+		dws_attempt_resend(node, timer->id);
+		return;
+	case DWS_TIMER_FENCE:
+		g_hash_table_remove(node->fences, &fence);
+		return;
+	case DWS_TIMER_LEDGER:
+		dws_home_expire(node, &key);
+		return;
+	}
+}
+
+static int64_t next_wake_us(dws_node_t *node)
+{
+	int64_t due_us = node->now_us + TICK_MAX_US;
+
+	due_us = MIN(due_us, dws_timers_next_us(&node->timers));
+	due_us = MIN(due_us, node->membership_due_us);
+	due_us = MIN(due_us, dws_spread_due_us(node));
+	due_us = MIN(due_us, dws_admission_wake_us(&node->admission));
+	due_us = MIN(due_us, dws_request_holds_due_us(node));
+	if (node->catch_up_until_us > node->now_us)
+		due_us = MIN(due_us, node->catch_up_until_us);
+	return due_us;
+}
+
+/* Does what is due and returns when it next wants to be called. */
+int64_t dws_node_tick(dws_node_t *node, int64_t now_us, int64_t wall_ms)
+{
+	dws_timer_t timer;
+
+	enter(node, now_us);
+	node->wall_offset_ms = wall_ms - node->now_us / DWS_US_PER_MS;
+	while (dws_timers_take(&node->timers, node->now_us, &timer))
+		fire(node, &timer);
+	dws_spread_set_claim(node);
+	node->membership_due_us =
+		dws_membership_tick(node->membership, node->now_us);
+	dws_spread_tick(node);
+	if (!node->draining &&
+	    (dws_membership_is_replaced(node->membership) ||
+	     dws_membership_is_listed_leaving(node->membership)))
+		dws_node_drain(node, node->now_us);
+	node->holds_dirty = true;
+	leave(node);
+	return next_wake_us(node);
+}
+
+/* Takes a request and returns its call id. */
+uint64_t dws_node_call(dws_node_t *node, int64_t now_us, const dws_call_t *call)
+{
+	uint64_t id;
+
+	enter(node, now_us);
+	id = dws_node_next_id(node);
+	dws_request_from_call(node, id, call);
+	leave(node);
+	return id;
+}
+
+/* The caller hung up. */
+void dws_node_caller_gone(dws_node_t *node, int64_t now_us, uint64_t call_id)
+{
+	enter(node, now_us);
+	dws_request_caller_gone(node, call_id);
+	leave(node);
+}
+
+/* Takes the end of a dispatch. */
+void dws_node_dispatched(dws_node_t *node, int64_t now_us, uint64_t attempt_id,
+			 const dws_dispatch_outcome_t *outcome)
+{
+	enter(node, now_us);
+	dws_attempt_dispatched(node, attempt_id, outcome);
+	leave(node);
+}
+
+static void on_execute(dws_node_t *node, const dws_origin_t *from,
+		       const Dws__Execute *execute)
+{
+	dws_work_t work = {
+		.remote = {.epoch = from->epoch, .id = execute->attempt_id},
+		.origin = from,
+		.priority = (uint8_t)MIN(execute->priority, 7),
+		.worth = execute->worth,
+		.idempotent = execute->idempotent};
+
+	if (!execute->request ||
+	    !dws_context_from_wire(node, execute->context,
+				   dws_node_waited_us(node), &work.context) ||
+	    !dws_payload_from_wire(execute->request, &work.payload)) {
+		dws_count(node, DWS_COUNT_BAD_MESSAGES);
+		return;
+	}
+	work.kind = execute->request->kind;
+	dws_attempt_accept(node, &work);
+}
+
+/* Tells the executor that its answer has arrived and may be forgotten. */
+static void acknowledge(dws_node_t *node, const dws_origin_t *from, uint64_t id)
+{
+	Dws__Envelope envelope = DWS__ENVELOPE__INIT;
+	Dws__Ack ack = DWS__ACK__INIT;
+
+	ack.id = id;
+	envelope.body_case = DWS__ENVELOPE__BODY_ACK;
+	envelope.ack = &ack;
+	dws_envelope_send(node, &from->frame, from->epoch, &envelope);
+}
+
+static void on_answer(dws_node_t *node, const dws_origin_t *from,
+		      const Dws__Answer *answer)
+{
+	dws_reply_t *reply = dws_reply_from_wire(answer);
+	dws_request_t *request = g_hash_table_lookup(node->sent, &answer->id);
+	bool is_idempotent = request && request->kind.idempotent;
+
+	if (!reply) {
+		dws_count(node, DWS_COUNT_BAD_MESSAGES);
+		return;
+	}
+	dws_request_on_reply(node, from, reply);
+	if (!is_idempotent && !reply->to_submit && !reply->is_running)
+		acknowledge(node, from, reply->id);
+	dws_reply_free(reply);
+}
+
+/* Handles messages that are meant for one process of this VM id only. */
+static void on_exact_message(dws_node_t *node, const dws_origin_t *from,
+			     const Dws__Envelope *envelope)
+{
+	dws_remote_id_t remote = {.epoch = from->epoch};
+
+	switch (envelope->body_case) {
+	case DWS__ENVELOPE__BODY_CANCEL:
+		remote.id = envelope->cancel->id;
+		dws_attempt_cancel(node, &remote);
+		return;
+	case DWS__ENVELOPE__BODY_RECALL:
+		dws_attempt_recall(node, from, envelope->recall->attempt_id);
+		return;
+	case DWS__ENVELOPE__BODY_ANSWER:
+		on_answer(node, from, envelope->answer);
+		return;
+	case DWS__ENVELOPE__BODY_ACK:
+		remote.id = envelope->ack->id;
+		dws_attempt_acknowledge(node, &remote);
+		return;
+	default:
+		return;
+	}
+}
+
+/*
+ * An attempt that was meant for an earlier process of this VM id: it was
+ * read here, so nobody else has it, and it is surely not run.
+ */
+static void refuse_misdirected(dws_node_t *node, const dws_origin_t *from,
+			       uint64_t attempt_id)
+{
+	dws_reply_t *reply = dws_reply_new(attempt_id, DWS_OUTCOME_NOT_RUN,
+					   DWS_REASON_CANCELLED);
+
+	dws_reply_send(node, from, reply);
+	dws_reply_free(reply);
+}
+
+static void on_envelope(dws_node_t *node, const dws_origin_t *from,
+			const Dws__Envelope *envelope)
+{
+	bool is_mine =
+		envelope->to_epoch == 0 || envelope->to_epoch == node->epoch;
+
+	switch (envelope->body_case) {
+	case DWS__ENVELOPE__BODY_EXECUTE:
+		if (is_mine)
+			on_execute(node, from, envelope->execute);
+		else
+			refuse_misdirected(node, from,
+					   envelope->execute->attempt_id);
+		return;
+	case DWS__ENVELOPE__BODY_SUBMIT:
+		dws_request_from_submit(node, from, envelope->submit);
+		return;
+	case DWS__ENVELOPE__BODY_PULL:
+		dws_spread_on_pull(node, from, envelope->pull);
+		return;
+	case DWS__ENVELOPE__BODY_DOCUMENT:
+		dws_spread_on_document(node, from, envelope->document);
+		return;
+	default:
+		if (is_mine)
+			on_exact_message(node, from, envelope);
+		return;
+	}
+}
+
+/* Takes a whole message from a peer's stream. */
+bool dws_node_frame(dws_node_t *node, int64_t now_us, const uint8_t *data,
+		    size_t size_bytes, GError **error)
+{
+	dws_origin_t from = {0};
+	Dws__Envelope *envelope;
+
+	enter(node, now_us);
+	envelope = dws_envelope_parse(data, size_bytes, &from, error);
+	if (!envelope) {
+		dws_count(node, DWS_COUNT_BAD_MESSAGES);
+		return false;
+	}
+	dws_membership_heard(node->membership, node->now_us, from.vm_id,
+			     from.epoch, envelope->leaving);
+	on_envelope(node, &from, envelope);
+	dws__envelope__free_unpacked(envelope, NULL);
+	leave(node);
+	return true;
+}
+
+/* Takes a datagram. */
+bool dws_node_datagram(dws_node_t *node, int64_t now_us, const uint8_t *data,
+		       size_t size_bytes, GError **error)
+{
+	bool ok;
+
+	enter(node, now_us);
+	ok = dws_membership_receive(node->membership, node->now_us, data,
+				    size_bytes, error);
+	if (!ok)
+		dws_count(node, DWS_COUNT_BAD_MESSAGES);
+	leave(node);
+	return ok;
+}
+
+/* The stream to a peer broke, or could not be opened. */
+void dws_node_stream_lost(dws_node_t *node, int64_t now_us,
+			  const dws_address_t *to)
+{
+	enter(node, now_us);
+	dws_request_stream_lost(node, to);
+	dws_attempt_stream_lost(node, to);
+	leave(node);
+}
+
+/* Ends a read of the platform. */
+void dws_node_platform_read(dws_node_t *node, int64_t now_us,
+			    dws_platform_item_t item, bool ok, const char *text,
+			    size_t size_bytes)
+{
+	enter(node, now_us);
+	dws_spread_on_platform_read(node, item, ok, text, size_bytes);
+	leave(node);
+}
+
+/* Starts a graceful shutdown. */
+void dws_node_drain(dws_node_t *node, int64_t now_us)
+{
+	enter(node, now_us);
+	if (node->draining)
+		return;
+	node->draining = true;
+	node->drain_started_us = node->now_us;
+	dws_membership_leave(node->membership, node->now_us);
+	dws_node_log(node, DWS_LOG_INFO, "drain_started", "vm=%s",
+		     node->settings->vm_id);
+	leave(node);
+}
+
+/* True while a caller waits, work runs, or a new answer is not yet taken. */
+static bool is_busy(const dws_node_t *node)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, node->requests);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (!((dws_request_t *)value)->detached)
+			return true;
+	}
+	g_hash_table_iter_init(&iter, node->attempts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		dws_attempt_t *attempt = value;
+
+		if (attempt->state != DWS_ATTEMPT_ANSWERED ||
+		    attempt->answered_us + DRAIN_ANSWERS_US > node->now_us)
+			return true;
+	}
+	return false;
+}
+
+/* Tells whether a drain has ended. */
+bool dws_node_is_drained(const dws_node_t *node, int64_t now_us)
+{
+	return node->draining && !is_busy(node) &&
+	       now_us - node->drain_started_us >=
+		       node->settings->drain_linger_ms * DWS_US_PER_MS;
+}
+
+/* Counters of the node; also written to by its driver. */
+dws_counters_t *dws_node_counters(dws_node_t *node)
+{
+	return &node->counters;
+}
--- a/src/process/routing.c
+++ b/src/process/routing.c
@@ -394,6 +394,15 @@
 	peer->avoid_until_us = now_us + MIN(wait_us, BACKOFF_MOST_US);
 }
 
+/* Ends a call that was given up; it says nothing about the member. */
+void dws_routing_cancelled(dws_routing_t *routing, const char *vm_id)
+{
+	peer_t *peer = g_hash_table_lookup(routing->peers, vm_id);
+
+	if (peer && peer->outstanding > 0)
+		peer->outstanding--;
+}
+
 /* Ends a call that was started; see the header. */
 void dws_routing_ended(dws_routing_t *routing, int64_t now_us,
 		       const char *vm_id, const dws_load_t *load)
--- a/src/process/routing.h
+++ b/src/process/routing.h
@@ -35,6 +35,8 @@
  */
 void dws_routing_ended(dws_routing_t *routing, int64_t now_us,
 		       const char *vm_id, const dws_load_t *load);
+/* Ends a call that was given up; it says nothing about the member. */
+void dws_routing_cancelled(dws_routing_t *routing, const char *vm_id);
 /* When a member that is busy now may be tried again; DWS_NEVER_US if none. */
 int64_t dws_routing_retry_us(const dws_routing_t *routing, int64_t now_us,
 			     const char *service);
--- /dev/null
+++ b/src/request/attempt.c
@@ -0,0 +1,523 @@
+/*
+ * Attempts: work for the local upstream, at the daemon that executes it.
+ *
+ * An attempt of non-idempotent work is kept after its end until its home
+ * acknowledges the answer, so that an answer lost with its stream is sent
+ * again, and in any case until a Recall for it can no longer be believed.
+ */
+#include "request/attempt.h"
+#include "connection/reply.h"
+#include "request/trace.h"
+#include "request/request.h"
+#include <string.h>
+
+#define RESEND_FIRST_US (200 * DWS_US_PER_MS)
+#define RESEND_MAX_SHIFT 4
+#define DRAIN_NESTED_US (2 * DWS_US_PER_S)
+/* After the deadline; longer than DWS_RECALL_TRUST_US at the home. */
+#define KEEP_ANSWER_US (60 * DWS_US_PER_S)
+/* Longer than any broken stream can still deliver what was sent on it. */
+#define FENCE_US (600 * DWS_US_PER_S)
+#define MAX_FENCES 65536
+#define OVERLOAD_RETRY_MS 500
+
+/* Hashes the id of another process's work. */
+guint dws_remote_id_hash(gconstpointer key)
+{
+	return (guint)dws_hash_bytes(DWS_HASH_START, key,
+				     sizeof(dws_remote_id_t));
+}
+
+/* Compares ids of other processes' work. */
+gboolean dws_remote_id_equal(gconstpointer a, gconstpointer b)
+{
+	return memcmp(a, b, sizeof(dws_remote_id_t)) == 0;
+}
+
+/* Frees an attempt; for the table that owns it. */
+void dws_attempt_free(gpointer data)
+{
+	dws_attempt_t *attempt = data;
+
+	dws_payload_finish(&attempt->payload);
+	g_hash_table_destroy(attempt->nested_counts);
+	g_hash_table_destroy(attempt->nested_requests);
+	dws_reply_free(attempt->answer);
+	g_free(attempt);
+}
+
+static void forget(dws_node_t *node, dws_attempt_t *attempt)
+{
+	g_hash_table_remove(node->attempts_by_remote, &attempt->remote);
+	g_hash_table_remove(node->attempts, &attempt->id);
+}
+
+/* A stable number for a kind's name, for queues. */
+uint32_t dws_kind_number(dws_node_t *node, const char *kind)
+{
+	gpointer number = g_hash_table_lookup(node->held_kinds, kind);
+
+	if (!number) {
+		number = GUINT_TO_POINTER(g_hash_table_size(node->held_kinds) +
+					  1);
+		g_hash_table_insert(node->held_kinds, g_strdup(kind), number);
+	}
+	return GPOINTER_TO_UINT(number);
+}
+
+/* Marks work of another process as never to be run; false without room. */
+bool dws_fence_add(dws_node_t *node, const dws_remote_id_t *remote)
+{
+	if (dws_fence_has(node, remote))
+		return true;
+	if (g_hash_table_size(node->fences) >= MAX_FENCES)
+		return false;
+	g_hash_table_add(node->fences, g_memdup2(remote, sizeof(*remote)));
+	dws_timer_t timer = {.due_us = node->now_us + FENCE_US,
+			     .kind = DWS_TIMER_FENCE,
+			     .id = remote->epoch,
+			     .place = remote->id};
+
+	dws_timers_add(&node->timers, &timer);
+	return true;
+}
+
+/* Tells whether work of another process must not be run. */
+bool dws_fence_has(dws_node_t *node, const dws_remote_id_t *remote)
+{
+	return g_hash_table_contains(node->fences, remote);
+}
+
+/* Sends a reply to the origin of work, or queues it for this process. */
+static void reply_to(dws_node_t *node, const dws_origin_t *origin,
+		     bool is_local, dws_reply_t *reply)
+{
+	dws_admission_load(&node->admission, &reply->load);
+	if (is_local) {
+		g_queue_push_tail(node->local_replies, reply);
+		return;
+	}
+	dws_reply_send(node, origin, reply);
+	dws_reply_free(reply);
+}
+
+static void refuse_work(dws_node_t *node, const dws_work_t *work,
+			dws_reason_t reason)
+{
+	dws_reply_t *reply =
+		dws_reply_new(work->remote.id, DWS_OUTCOME_NOT_RUN, reason);
+
+	reply->tokens = work->context.tokens;
+	reply_to(node, work->origin, work->is_local, reply);
+}
+
+static void write_span(dws_node_t *node, const dws_attempt_t *attempt,
+		       const dws_reply_t *reply)
+{
+	dws_span_t span = {.name = "execute",
+			   .vm_id = node->settings->vm_id,
+			   .kind = attempt->kind,
+			   .outcome = dws_outcome_name(reply->outcome),
+			   .reason = dws_reason_name(reply->reason),
+			   .start_us = attempt->arrived_us,
+			   .duration_us = node->now_us - attempt->arrived_us,
+			   .status = reply->status,
+			   .hop = (uint16_t)attempt->context.hop};
+
+	if (attempt->started_us)
+		span.queued_us = attempt->started_us - attempt->arrived_us;
+	else
+		span.queued_us = span.duration_us;
+	dws_trace_text(attempt->context.trace_id, span.trace_id);
+	g_snprintf(span.span_id, sizeof(span.span_id),
+		   "%016" G_GINT64_MODIFIER "x", attempt->span_id);
+	g_snprintf(span.parent_id, sizeof(span.parent_id),
+		   "%016" G_GINT64_MODIFIER "x", attempt->context.parent_span);
+	node->io->ops->span(node->io, &span);
+}
+
+/* Ends the nested calls that an ended attempt leaves behind. */
+static void end_nested(dws_node_t *node, dws_attempt_t *attempt)
+{
+	GList *ids = g_hash_table_get_keys(attempt->nested_requests);
+
+	for (GList *item = ids; item; item = item->next)
+		dws_request_cancel(node, *(uint64_t *)item->data);
+	g_list_free(ids);
+}
+
+/*
+ * Ends an attempt with its fate. The answer to non-idempotent work of
+ * another process is kept until it is acknowledged.
+ */
+static void conclude(dws_node_t *node, dws_attempt_t *attempt,
+		     dws_reply_t *reply)
+{
+	end_nested(node, attempt);
+	reply->id = attempt->remote.id;
+	reply->tokens = attempt->context.tokens;
+	dws_admission_load(&node->admission, &reply->load);
+	write_span(node, attempt, reply);
+	attempt->state = DWS_ATTEMPT_ANSWERED;
+	if (attempt->is_local) {
+		g_queue_push_tail(node->local_replies, reply);
+		forget(node, attempt);
+		return;
+	}
+	dws_reply_send(node, &attempt->origin, reply);
+	if (attempt->idempotent) {
+		dws_reply_free(reply);
+		forget(node, attempt);
+		return;
+	}
+	attempt->answer = reply;
+	attempt->answered_us = node->now_us;
+	dws_timer_t timer = {.due_us = node->now_us + RESEND_FIRST_US,
+			     .kind = DWS_TIMER_ATTEMPT_RESEND,
+			     .id = attempt->id};
+
+	dws_timers_add(&node->timers, &timer);
+}
+
+static void refuse_attempt(dws_node_t *node, uint64_t id, dws_reason_t reason)
+{
+	dws_attempt_t *attempt = g_hash_table_lookup(node->attempts, &id);
+
+	if (!attempt)
+		return;
+	dws_reply_t *reply = dws_reply_new(0, DWS_OUTCOME_NOT_RUN, reason);
+
+	if (reason == DWS_REASON_OVERLOAD)
+		reply->retry_after_ms = OVERLOAD_RETRY_MS;
+	conclude(node, attempt, reply);
+}
+
+static dws_attempt_t *create(dws_node_t *node, dws_work_t *work)
+{
+	dws_attempt_t *attempt = g_new0(dws_attempt_t, 1);
+
+	attempt->id = dws_node_random(node);
+	attempt->remote = work->remote;
+	attempt->origin = *work->origin;
+	attempt->is_local = work->is_local;
+	g_strlcpy(attempt->kind, work->kind, sizeof(attempt->kind));
+	attempt->priority = work->priority;
+	attempt->idempotent = work->idempotent;
+	attempt->span_id = dws_node_random(node);
+	attempt->context = work->context;
+	attempt->payload = work->payload;
+	memset(&work->payload, 0, sizeof(work->payload));
+	attempt->arrived_us = node->now_us;
+	attempt->nested_counts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	attempt->nested_requests = g_hash_table_new_full(
+		g_int64_hash, g_int64_equal, g_free, NULL);
+	g_hash_table_insert(node->attempts, &attempt->id, attempt);
+	g_hash_table_insert(node->attempts_by_remote, &attempt->remote,
+			    attempt);
+	return attempt;
+}
+
+/*
+ * A leaving endpoint takes no new roots at once, and shortly after no nested
+ * work of requests that were in flight when it began to leave.
+ */
+static bool is_closed_for(const dws_node_t *node, const dws_work_t *work)
+{
+	if (!node->draining)
+		return false;
+	return work->context.hop == 0 ||
+	       node->now_us - node->drain_started_us > DRAIN_NESTED_US;
+}
+
+/* Why work can't be taken at all; DWS_REASON_NONE if it can. */
+static dws_reason_t unacceptable(dws_node_t *node, const dws_work_t *work)
+{
+	if (dws_fence_has(node, &work->remote))
+		return DWS_REASON_CANCELLED;
+	if (is_closed_for(node, work))
+		return DWS_REASON_DRAINING;
+	if (node->settings->upstream.port == 0)
+		return DWS_REASON_NO_ENDPOINT;
+	if (work->context.deadline_us <= node->now_us)
+		return DWS_REASON_DEADLINE;
+	if (g_hash_table_size(node->attempts) >= node->settings->max_calls)
+		return DWS_REASON_OVERLOAD;
+	return DWS_REASON_NONE;
+}
+
+/* Queues work or refuses it; a reply follows in either case. */
+void dws_attempt_accept(dws_node_t *node, dws_work_t *work)
+{
+	dws_reason_t reason = unacceptable(node, work);
+	uint64_t displaced = 0;
+
+	if (g_hash_table_contains(node->attempts_by_remote, &work->remote)) {
+		dws_payload_finish(&work->payload);
+		return;
+	}
+	if (reason != DWS_REASON_NONE) {
+		refuse_work(node, work, reason);
+		dws_payload_finish(&work->payload);
+		return;
+	}
+	dws_attempt_t *attempt = create(node, work);
+	dws_queue_item_t item = {.id = attempt->id,
+				 .kind = dws_kind_number(node, attempt->kind),
+				 .priority = work->priority,
+				 .worth = MAX(work->worth, 1),
+				 .enqueued_us = node->now_us,
+				 .deadline_us = attempt->context.deadline_us};
+
+	if (!dws_admission_offer(&node->admission, node->now_us, &item,
+				 &displaced))
+		refuse_attempt(node, attempt->id, DWS_REASON_OVERLOAD);
+	if (displaced)
+		refuse_attempt(node, displaced, DWS_REASON_OVERLOAD);
+}
+
+static void start(dws_node_t *node, dws_attempt_t *attempt)
+{
+	char identity[64];
+	dws_context_t *context = &attempt->context;
+	gsize size_bytes = 0;
+	dws_dispatch_t dispatch = {
+		.attempt_id = attempt->id,
+		.method = attempt->payload.method,
+		.path = attempt->payload.path,
+		.content_type = attempt->payload.content_type,
+		.customer = context->customer,
+		.identity = identity,
+		.deadline_us = context->deadline_us,
+		.idempotent = attempt->idempotent,
+	};
+	char trace_id[33];
+
+	dispatch.body = g_bytes_get_data(attempt->payload.body, &size_bytes);
+	dispatch.body_size_bytes = size_bytes;
+	g_snprintf(identity, sizeof(identity),
+		   "%016" G_GINT64_MODIFIER "x-%" G_GINT64_MODIFIER
+		   "x-%" G_GINT64_MODIFIER "x",
+		   context->home_epoch, context->root_serial, context->place);
+	dws_trace_text(context->trace_id, trace_id);
+	g_snprintf(dispatch.traceparent, sizeof(dispatch.traceparent),
+		   "00-%s-%016" G_GINT64_MODIFIER "x-01", trace_id,
+		   attempt->span_id);
+	attempt->state = DWS_ATTEMPT_RUNNING;
+	attempt->started_us = node->now_us;
+	dws_counters_time(&node->counters, DWS_HIST_QUEUE,
+			  node->now_us - attempt->arrived_us);
+	dws_count(node, DWS_COUNT_DISPATCHES);
+	node->io->ops->dispatch(node->io, &dispatch);
+}
+
+/* Starts what has room and refuses what can't end in time. */
+void dws_attempt_pump(dws_node_t *node)
+{
+	dws_queue_item_t item;
+
+	while (dws_admission_expire(&node->admission, node->now_us, &item)) {
+		dws_count(node, DWS_COUNT_REFUSED_DEADLINE);
+		refuse_attempt(node, item.id, DWS_REASON_DEADLINE);
+	}
+	while (dws_admission_start(&node->admission, node->now_us, &item)) {
+		dws_attempt_t *attempt =
+			g_hash_table_lookup(node->attempts, &item.id);
+
+		if (attempt && attempt->context.deadline_us > node->now_us) {
+			start(node, attempt);
+			continue;
+		}
+		dws_admission_end(&node->admission, node->now_us, item.id, 0,
+				  false);
+		refuse_attempt(node, item.id, DWS_REASON_DEADLINE);
+	}
+}
+
+/* Time at the upstream itself, without the time in nested calls. */
+static int64_t own_time_us(const dws_node_t *node, const dws_attempt_t *attempt)
+{
+	int64_t nested_us = attempt->nested_total_us;
+
+	if (attempt->nested_open > 0)
+		nested_us += node->now_us - attempt->nested_since_us;
+	return MAX(node->now_us - attempt->started_us - nested_us, 0);
+}
+
+/* The fate of an attempt by the end of its dispatch. */
+static dws_reply_t *reply_of(const dws_attempt_t *attempt,
+			     const dws_dispatch_outcome_t *outcome)
+{
+	dws_reply_t *reply;
+
+	/* It made nested calls, so it ran, whatever the upstream says. */
+	if (outcome->refused && g_hash_table_size(attempt->nested_counts) > 0)
+		return dws_reply_new(0, DWS_OUTCOME_UNKNOWN,
+				     DWS_REASON_UPSTREAM_LOST);
+	if (outcome->result == DWS_DISPATCH_NOT_SENT)
+		return dws_reply_new(0, DWS_OUTCOME_NOT_RUN,
+				     DWS_REASON_NO_ENDPOINT);
+	if (outcome->result == DWS_DISPATCH_LOST)
+		return dws_reply_new(0, DWS_OUTCOME_UNKNOWN,
+				     DWS_REASON_UPSTREAM_LOST);
+	if (outcome->refused) {
+		reply = dws_reply_new(0, DWS_OUTCOME_NOT_RUN,
+				      DWS_REASON_OVERLOAD);
+		reply->retry_after_ms = OVERLOAD_RETRY_MS;
+		return reply;
+	}
+	reply = dws_reply_new(0, DWS_OUTCOME_COMPLETE, DWS_REASON_NONE);
+	reply->status = outcome->status;
+	reply->content_type = g_strdup(outcome->content_type);
+	reply->body = g_bytes_new(outcome->body, outcome->body_size_bytes);
+	return reply;
+}
+
+/* Takes the end of a dispatch. */
+void dws_attempt_dispatched(dws_node_t *node, uint64_t attempt_id,
+			    const dws_dispatch_outcome_t *outcome)
+{
+	dws_attempt_t *attempt =
+		g_hash_table_lookup(node->attempts, &attempt_id);
+
+	if (!attempt || attempt->state != DWS_ATTEMPT_RUNNING)
+		return;
+	bool overloaded =
+		outcome->refused || outcome->result != DWS_DISPATCH_ANSWERED;
+
+	dws_counters_time(&node->counters, DWS_HIST_UPSTREAM,
+			  node->now_us - attempt->started_us);
+	dws_admission_end(&node->admission, node->now_us, attempt->id,
+			  own_time_us(node, attempt), overloaded);
+	conclude(node, attempt, reply_of(attempt, outcome));
+}
+
+/*
+ * Cancels work that nobody waits for. Work that waits is refused, idempotent
+ * work is stopped, other work runs on.
+ */
+void dws_attempt_cancel(dws_node_t *node, const dws_remote_id_t *remote)
+{
+	dws_attempt_t *attempt =
+		g_hash_table_lookup(node->attempts_by_remote, remote);
+
+	if (!attempt)
+		return;
+	if (attempt->state == DWS_ATTEMPT_QUEUED) {
+		dws_admission_cancel(&node->admission, attempt->id);
+		refuse_attempt(node, attempt->id, DWS_REASON_CANCELLED);
+		return;
+	}
+	if (attempt->state != DWS_ATTEMPT_RUNNING || !attempt->idempotent)
+		return;
+	node->io->ops->cancel(node->io, attempt->id);
+	dws_admission_end(&node->admission, node->now_us, attempt->id,
+			  own_time_us(node, attempt), false);
+	conclude(node, attempt,
+		 dws_reply_new(0, DWS_OUTCOME_UNKNOWN, DWS_REASON_CANCELLED));
+}
+
+/* Tells the fate of an attempt; one that was never seen is fenced. */
+void dws_attempt_recall(dws_node_t *node, const dws_origin_t *origin,
+			uint64_t id)
+{
+	dws_remote_id_t remote = {.epoch = origin->epoch, .id = id};
+	dws_attempt_t *attempt =
+		g_hash_table_lookup(node->attempts_by_remote, &remote);
+
+	if (attempt && attempt->answer) {
+		dws_reply_send(node, origin, attempt->answer);
+		return;
+	}
+	if (!attempt && !dws_fence_add(node, &remote))
+		return;
+	dws_reply_t *reply =
+		dws_reply_new(id, DWS_OUTCOME_NOT_RUN, DWS_REASON_CANCELLED);
+
+	reply->is_running = attempt != NULL;
+	reply_to(node, origin, false, reply);
+}
+
+/* The home has the answer. */
+void dws_attempt_acknowledge(dws_node_t *node, const dws_remote_id_t *remote)
+{
+	dws_attempt_t *attempt =
+		g_hash_table_lookup(node->attempts_by_remote, remote);
+
+	if (attempt && attempt->state == DWS_ATTEMPT_ANSWERED)
+		forget(node, attempt);
+}
+
+/* Sends an unacknowledged answer again, ever more rarely. */
+void dws_attempt_resend(dws_node_t *node, uint64_t attempt_id)
+{
+	dws_attempt_t *attempt =
+		g_hash_table_lookup(node->attempts, &attempt_id);
+
+	if (!attempt || !attempt->answer)
+		return;
+	if (node->now_us > attempt->context.deadline_us + KEEP_ANSWER_US) {
+		forget(node, attempt);
+		return;
+	}
+	dws_reply_send(node, &attempt->origin, attempt->answer);
+	attempt->resends = MIN(attempt->resends + 1, RESEND_MAX_SHIFT);
+	dws_timer_t timer = {.due_us = node->now_us +
+				       (RESEND_FIRST_US << attempt->resends),
+			     .kind = DWS_TIMER_ATTEMPT_RESEND,
+			     .id = attempt->id};
+
+	dws_timers_add(&node->timers, &timer);
+}
+
+/* Sends again what a broken stream may have lost. */
+void dws_attempt_stream_lost(dws_node_t *node, const dws_address_t *to)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, node->attempts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		dws_attempt_t *attempt = value;
+
+		if (attempt->answer &&
+		    dws_address_equal(&attempt->origin.frame, to))
+			attempt->resends = 0;
+	}
+}
+
+/* A running attempt by the id that the upstream knows; NULL if ended. */
+dws_attempt_t *dws_attempt_parent(dws_node_t *node, uint64_t attempt_id)
+{
+	dws_attempt_t *attempt =
+		g_hash_table_lookup(node->attempts, &attempt_id);
+
+	if (!attempt || attempt->state != DWS_ATTEMPT_RUNNING)
+		return NULL;
+	return attempt;
+}
+
+/* Notes that the upstream makes a nested call for an attempt. */
+void dws_attempt_nested_begin(dws_node_t *node, dws_attempt_t *attempt,
+			      uint64_t request_id)
+{
+	g_hash_table_add(attempt->nested_requests,
+			 g_memdup2(&request_id, sizeof(request_id)));
+	if (attempt->nested_open++ == 0)
+		attempt->nested_since_us = node->now_us;
+}
+
+/* Ends a nested call and takes its unused retry tokens back. */
+void dws_attempt_nested_end(dws_node_t *node, uint64_t attempt_id,
+			    uint64_t request_id, uint32_t tokens)
+{
+	dws_attempt_t *attempt = dws_attempt_parent(node, attempt_id);
+
+	if (!attempt ||
+	    !g_hash_table_remove(attempt->nested_requests, &request_id))
+		return;
+	attempt->context.tokens += tokens;
+	if (--attempt->nested_open == 0)
+		attempt->nested_total_us +=
+			node->now_us - attempt->nested_since_us;
+}
--- /dev/null
+++ b/src/request/home.c
@@ -0,0 +1,167 @@
+/*
+ * What a home knows of the non-idempotent requests that it alone dispatches.
+ */
+#include "request/request.h"
+
+/* Digest of what makes two requests of one identity the same request. */
+static uint64_t digest_of(const dws_payload_t *payload)
+{
+	gsize size_bytes = 0;
+	const void *body = g_bytes_get_data(payload->body, &size_bytes);
+	uint64_t digest = dws_hash_text(DWS_HASH_START, payload->method);
+
+	digest = dws_hash_text(digest, payload->path);
+	return dws_hash_bytes(digest, body, size_bytes);
+}
+
+static void settle_refused(dws_node_t *node, dws_request_t *request,
+			   dws_outcome_t outcome, dws_reason_t reason)
+{
+	dws_result_t result = dws_result_refused(outcome, reason);
+
+	dws_request_settle(node, request, &result);
+}
+
+/* Gives the recorded fate to a request of the same identity. */
+static void join(dws_node_t *node, dws_request_t *request,
+		 dws_ledger_entry_t *entry)
+{
+	dws_result_t result = {.outcome = DWS_OUTCOME_COMPLETE};
+
+	dws_count(node, DWS_COUNT_JOINED);
+	switch (entry->fate) {
+	case DWS_FATE_RUNNING:
+		request->state = DWS_REQUEST_JOINED;
+		g_array_append_val(entry->waiters, request->id);
+		return;
+	case DWS_FATE_COMPLETE:
+		result.status = entry->status;
+		result.content_type = entry->content_type;
+		result.body = entry->body;
+		dws_request_settle(node, request, &result);
+		return;
+	case DWS_FATE_UNKNOWN:
+		settle_refused(node, request, DWS_OUTCOME_UNKNOWN,
+			       entry->reason);
+		return;
+	case DWS_FATE_CLOSED:
+		settle_refused(node, request, DWS_OUTCOME_NOT_RUN,
+			       entry->reason);
+		return;
+	}
+}
+
+/*
+ * The fate of an identity without an entry that must not be dispatched: it
+ * was surely never run, unless its entry may have been forgotten already.
+ */
+static bool refuse_if_over(dws_node_t *node, dws_request_t *request,
+			   const dws_ledger_key_t *key)
+{
+	int64_t expiry_us = dws_ticket_expiry_us(&node->mint, key->serial);
+
+	if (node->now_us >= expiry_us + node->mint.ttl_us) {
+		settle_refused(node, request, DWS_OUTCOME_UNKNOWN,
+			       DWS_REASON_TICKET_EXPIRED);
+		return true;
+	}
+	if (node->now_us >= expiry_us) {
+		settle_refused(node, request, DWS_OUTCOME_NOT_RUN,
+			       DWS_REASON_TICKET_EXPIRED);
+		return true;
+	}
+	if (dws_ledger_is_closed(&node->ledger, key)) {
+		settle_refused(node, request, DWS_OUTCOME_NOT_RUN,
+			       DWS_REASON_OVERLOAD);
+		return true;
+	}
+	return false;
+}
+
+/* Closes a ticket that is refused before it has an entry, and refuses it. */
+static void close_unused(dws_node_t *node, dws_request_t *request,
+			 const dws_ledger_key_t *key, dws_reason_t reason)
+{
+	int64_t expires_us = dws_ticket_expiry_us(&node->mint, key->serial) +
+			     node->mint.ttl_us;
+
+	dws_ledger_close_unused(&node->ledger, key, expires_us, reason);
+	settle_refused(node, request, DWS_OUTCOME_NOT_RUN, reason);
+}
+
+static void arm_expiry(dws_node_t *node, const dws_ledger_key_t *key,
+		       int64_t due_us)
+{
+	dws_timer_t timer = {.due_us = due_us,
+			     .kind = DWS_TIMER_LEDGER,
+			     .id = key->serial,
+			     .place = key->place};
+
+	dws_timers_add(&node->timers, &timer);
+}
+
+/*
+ * Decides on a non-idempotent request whose home is this daemon: joins it to
+ * what is known of its identity, or starts it for the first time.
+ */
+void dws_home_admit(dws_node_t *node, dws_request_t *request)
+{
+	dws_ledger_key_t key = {.serial = request->context.root_serial,
+				.place = request->context.place};
+	dws_ledger_entry_t *entry = dws_ledger_find(&node->ledger, &key);
+	uint64_t digest = digest_of(&request->payload);
+	int64_t expires_us = dws_ticket_expiry_us(&node->mint, key.serial) +
+			     node->mint.ttl_us;
+
+	if (entry && entry->fate != DWS_FATE_CLOSED &&
+	    entry->digest != digest) {
+		settle_refused(node, request, DWS_OUTCOME_NOT_RUN,
+			       DWS_REASON_TICKET_REUSED);
+		return;
+	}
+	if (entry) {
+		join(node, request, entry);
+		return;
+	}
+	if (refuse_if_over(node, request, &key))
+		return;
+	arm_expiry(node, &key, expires_us);
+	if (node->draining && key.place == 0) {
+		close_unused(node, request, &key, DWS_REASON_DRAINING);
+		return;
+	}
+	if (!dws_ledger_add(&node->ledger, &key, digest, request->id,
+			    expires_us)) {
+		close_unused(node, request, &key, DWS_REASON_LEDGER_FULL);
+		return;
+	}
+	request->is_home = true;
+	dws_request_start(node, request);
+}
+
+/*
+ * Forgets an entry whose time has passed. A dispatch that still has no
+ * answer by then ends as unknown.
+ */
+void dws_home_expire(dws_node_t *node, const dws_ledger_key_t *key)
+{
+	dws_ledger_entry_t *entry = dws_ledger_find(&node->ledger, key);
+
+	if (!entry)
+		return;
+	if (entry->fate == DWS_FATE_RUNNING) {
+		dws_request_t *request =
+			dws_request_find(node, entry->request_id);
+
+		if (request && !request->detached) {
+			arm_expiry(node, key, node->now_us + DWS_US_PER_S);
+			return;
+		}
+		if (request)
+			settle_refused(node, request, DWS_OUTCOME_UNKNOWN,
+				       DWS_REASON_UPSTREAM_LOST);
+		else
+			dws_ledger_set_unknown(entry, DWS_REASON_UPSTREAM_LOST);
+	}
+	dws_ledger_expire(&node->ledger, key, node->now_us);
+}
--- /dev/null
+++ b/src/request/intake.c
@@ -0,0 +1,419 @@
+/*
+ * New requests: from callers, from the local upstream, and from peers for
+ * which this daemon is the home.
+ */
+#include "connection/reply.h"
+#include "request/attempt.h"
+#include "request/request.h"
+#include "request/trace.h"
+#include <string.h>
+
+#define MAX_CUSTOMER_SIZE 129
+
+/* Frees a request; for the table that owns it. */
+void dws_request_free(gpointer data)
+{
+	dws_request_t *request = data;
+
+	dws_payload_finish(&request->payload);
+	g_free(request->ticket);
+	g_ptr_array_free(request->excluded, true);
+	g_free(request);
+}
+
+static dws_request_t *create(dws_node_t *node, uint64_t id)
+{
+	dws_request_t *request = g_new0(dws_request_t, 1);
+
+	request->id = id;
+	request->start_us = node->now_us;
+	request->span_id = dws_node_random(node);
+	request->excluded = g_ptr_array_new_with_free_func(g_free);
+	g_hash_table_insert(node->requests, &request->id, request);
+	return request;
+}
+
+static void arm_deadline(dws_node_t *node, const dws_request_t *request)
+{
+	dws_timer_t timer = {.due_us = request->context.deadline_us,
+			     .kind = DWS_TIMER_REQUEST_DEADLINE,
+			     .id = request->id};
+
+	dws_timers_add(&node->timers, &timer);
+}
+
+static void take_payload(dws_request_t *request, const dws_call_t *call)
+{
+	request->payload.method = g_strdup(call->method);
+	request->payload.path = g_strdup(call->path);
+	request->payload.content_type =
+		g_strdup(call->content_type ? call->content_type : "");
+	request->payload.body = g_bytes_new(call->body, call->body_size_bytes);
+}
+
+static int64_t timeout_us(const dws_call_t *call, const dws_kind_t *kind)
+{
+	int64_t longest_us = kind->timeout_ms * DWS_US_PER_MS;
+
+	if (call->timeout_us <= 0)
+		return longest_us;
+	return MIN(call->timeout_us, longest_us);
+}
+
+/* Starts the context of a root request, whose home is this daemon. */
+static void start_root(dws_node_t *node, dws_request_t *request,
+		       const dws_call_t *call)
+{
+	dws_context_t *context = &request->context;
+
+	if (!dws_trace_parse(call->traceparent, context->trace_id,
+			     &context->parent_span)) {
+		uint64_t halves[2] = {dws_node_random(node),
+				      dws_node_random(node)};
+
+		memcpy(context->trace_id, halves, sizeof(context->trace_id));
+		context->parent_span = 0;
+	}
+	if (call->customer)
+		g_strlcpy(context->customer, call->customer,
+			  sizeof(context->customer));
+	context->deadline_us = node->now_us + timeout_us(call, &request->kind);
+	context->tokens = request->kind.retry_budget;
+	g_strlcpy(context->home_vm, node->settings->vm_id,
+		  sizeof(context->home_vm));
+	context->home_epoch = node->epoch;
+	context->root_serial = dws_ticket_serial(&node->mint, node->now_us);
+}
+
+/*
+ * Charges a nested call to its parent: the configured number of calls of a
+ * kind is free for the first attempt of a parent, all others cost a retry.
+ */
+static bool charge_parent(dws_attempt_t *parent, const dws_kind_t *kind)
+{
+	guint count = GPOINTER_TO_UINT(
+		g_hash_table_lookup(parent->nested_counts, kind->name));
+
+	if (parent->context.retried || count >= kind->calls_per_parent) {
+		if (parent->context.tokens == 0)
+			return false;
+		parent->context.tokens--;
+	}
+	g_hash_table_insert(parent->nested_counts, g_strdup(kind->name),
+			    GUINT_TO_POINTER(count + 1));
+	return true;
+}
+
+/* Where a nested call stands in the tree of its root; never 0. */
+static uint64_t place_of(const dws_attempt_t *parent, const dws_kind_t *kind,
+			 const char *idempotency_key)
+{
+	uint64_t place = dws_hash_bytes(DWS_HASH_START, &parent->context.place,
+					sizeof(parent->context.place));
+
+	place = dws_hash_text(place, kind->name);
+	place = dws_hash_text(place, idempotency_key);
+	return place ? place : 1;
+}
+
+/* Starts the context of a nested call below a running attempt. */
+static dws_reason_t start_nested(dws_node_t *node, dws_request_t *request,
+				 dws_attempt_t *parent, const dws_call_t *call)
+{
+	dws_context_t *context = &request->context;
+	uint32_t share;
+
+	if (parent->context.hop + 1 > DWS_MAX_HOPS)
+		return DWS_REASON_TOO_DEEP;
+	if (!charge_parent(parent, &request->kind))
+		return DWS_REASON_RETRY_BUDGET;
+	*context = parent->context;
+	context->hop++;
+	context->parent_span = parent->span_id;
+	context->place =
+		place_of(parent, &request->kind, call->idempotency_key);
+	context->deadline_us =
+		MIN(context->deadline_us,
+		    node->now_us + timeout_us(call, &request->kind));
+	share = (parent->context.tokens + 1) / 2;
+	context->tokens = share;
+	parent->context.tokens -= share;
+	if (request->kind.idempotent)
+		request->kind.priority = parent->priority;
+	else
+		request->kind.priority =
+			MAX(request->kind.priority, parent->priority);
+	request->parent_attempt = parent->id;
+	dws_attempt_nested_begin(node, parent, request->id);
+	return DWS_REASON_NONE;
+}
+
+/* A refusal of a request whose ticket another daemon may have run. */
+static void refuse_ticketed(dws_node_t *node, dws_request_t *request,
+			    dws_reason_t reason)
+{
+	dws_result_t result = dws_result_refused(DWS_OUTCOME_UNKNOWN, reason);
+
+	dws_request_settle(node, request, &result);
+}
+
+/* Takes a root request with a ticket, here or at the ticket's home. */
+static void take_ticket(dws_node_t *node, dws_request_t *request,
+			const char *text)
+{
+	dws_ticket_t ticket;
+	GError *error = NULL;
+	dws_result_t result =
+		dws_result_refused(DWS_OUTCOME_NOT_RUN, DWS_REASON_BAD_TICKET);
+
+	if (!dws_ticket_parse(text, &ticket, &error)) {
+		result.detail = error->message;
+		dws_request_settle(node, request, &result);
+		g_error_free(error);
+		return;
+	}
+	request->ticket = g_strdup(text);
+	request->context.root_serial = ticket.serial;
+	g_strlcpy(request->context.home_vm, ticket.home_vm,
+		  sizeof(request->context.home_vm));
+	request->context.home_epoch = ticket.home_epoch;
+	if (ticket.home_epoch != node->epoch) {
+		if (node->draining)
+			refuse_ticketed(node, request, DWS_REASON_DRAINING);
+		else
+			dws_request_forward(node, request);
+		return;
+	}
+	if (!dws_ticket_verify(&node->mint, text, request->kind.name, &error)) {
+		result.detail = error->message;
+		dws_request_settle(node, request, &result);
+		g_error_free(error);
+		return;
+	}
+	dws_home_admit(node, request);
+}
+
+/* The delay of a planned slowdown for a root request, in us. */
+static int64_t slowdown_us(dws_node_t *node, const dws_request_t *request)
+{
+	int64_t age_ms =
+		(node->now_us - node->config_confirmed_us) / DWS_US_PER_MS;
+	dws_config_t *config = dws_fold_config(node->fold);
+
+	if (request->context.customer[0] == '\0')
+		return 0;
+	return dws_config_slowdown_ms(
+		       config, request->kind.name, request->context.customer,
+		       node->now_us / DWS_US_PER_MS + node->wall_offset_ms,
+		       age_ms) *
+	       DWS_US_PER_MS;
+}
+
+/* Applies a planned slowdown, then looks for an endpoint. */
+void dws_request_start(dws_node_t *node, dws_request_t *request)
+{
+	int64_t delay_us = 0;
+
+	if (request->context.hop == 0)
+		delay_us = slowdown_us(node, request);
+	if (delay_us > 0) {
+		dws_count(node, DWS_COUNT_SLOWED);
+		dws_request_delay(node, request, delay_us);
+		return;
+	}
+	dws_request_route(node, request);
+}
+
+static void admit_nested(dws_node_t *node, dws_request_t *request)
+{
+	if (request->kind.idempotent)
+		dws_request_start(node, request);
+	else if (request->context.home_epoch == node->epoch)
+		dws_home_admit(node, request);
+	else
+		dws_request_forward(node, request);
+}
+
+static void admit_root(dws_node_t *node, dws_request_t *request,
+		       const dws_call_t *call)
+{
+	if (request->kind.idempotent) {
+		if (node->draining)
+			dws_request_refuse(node, request, DWS_REASON_DRAINING);
+		else
+			dws_request_start(node, request);
+		return;
+	}
+	if (!call->ticket) {
+		dws_request_refuse(node, request, DWS_REASON_NO_TICKET);
+		return;
+	}
+	take_ticket(node, request, call->ticket);
+}
+
+/*
+ * Why a call can't become a request, before its kind is known. A ticketed
+ * call is never turned away here as unrun: its home may have run it.
+ */
+static dws_reason_t check_call(dws_node_t *node, const dws_call_t *call)
+{
+	if (!call->method || !call->path || call->path[0] != '/' ||
+	    (call->customer && strlen(call->customer) >= MAX_CUSTOMER_SIZE))
+		return DWS_REASON_BAD_REQUEST;
+	if (!dws_fold_config(node->fold))
+		return DWS_REASON_STARTING;
+	return DWS_REASON_NONE;
+}
+
+/*
+ * Bounds the requests in flight. Urgent kinds have twice the room of those
+ * that are refused first, so these never crowd them out.
+ */
+static dws_reason_t check_room(dws_node_t *node, const dws_kind_t *kind)
+{
+	uint32_t room = node->settings->max_calls;
+
+	if (kind->priority > 0)
+		room *= 2;
+	if (g_hash_table_size(node->requests) > room)
+		return DWS_REASON_OVERLOAD;
+	return DWS_REASON_NONE;
+}
+
+/* Refuses a call that has no kind yet. */
+static void refuse_call(dws_node_t *node, dws_request_t *request,
+			const dws_call_t *call, dws_reason_t reason)
+{
+	bool may_run_elsewhere = call->ticket && !call->is_nested &&
+				 reason != DWS_REASON_BAD_REQUEST;
+	dws_result_t result = dws_result_refused(
+		may_run_elsewhere ? DWS_OUTCOME_UNKNOWN : DWS_OUTCOME_NOT_RUN,
+		reason);
+
+	dws_request_settle(node, request, &result);
+}
+
+/* Takes a call of a local caller or of the local upstream. */
+void dws_request_from_call(dws_node_t *node, uint64_t id,
+			   const dws_call_t *call)
+{
+	dws_request_t *request = create(node, id);
+	dws_reason_t reason = check_call(node, call);
+	const dws_kind_t *kind = NULL;
+	dws_attempt_t *parent = NULL;
+
+	dws_count(node,
+		  call->is_nested ? DWS_COUNT_NESTED_CALLS : DWS_COUNT_CALLS);
+	if (reason == DWS_REASON_NONE) {
+		kind = dws_config_match(dws_fold_config(node->fold),
+					call->method, call->path);
+		reason = kind ? DWS_REASON_NONE : DWS_REASON_NO_KIND;
+	}
+	if (reason == DWS_REASON_NONE && call->is_nested) {
+		parent = dws_attempt_parent(node, call->parent_attempt);
+		reason = parent ? DWS_REASON_NONE : DWS_REASON_NO_PARENT;
+	}
+	if (reason == DWS_REASON_NONE) {
+		request->kind = *kind;
+		if (!parent)
+			reason = check_room(node, kind);
+	}
+	if (reason == DWS_REASON_NONE) {
+		if (parent)
+			reason = start_nested(node, request, parent, call);
+		else
+			start_root(node, request, call);
+	}
+	if (reason != DWS_REASON_NONE) {
+		refuse_call(node, request, call, reason);
+		return;
+	}
+	take_payload(request, call);
+	arm_deadline(node, request);
+	if (parent)
+		admit_nested(node, request);
+	else
+		admit_root(node, request, call);
+}
+
+/* Refuses a submitted request that can't be taken at all. */
+static void refuse_submit(dws_node_t *node, const dws_origin_t *origin,
+			  uint64_t id, dws_outcome_t outcome,
+			  dws_reason_t reason)
+{
+	dws_reply_t *reply = dws_reply_new(id, outcome, reason);
+
+	reply->to_submit = true;
+	dws_reply_send(node, origin, reply);
+	dws_reply_free(reply);
+}
+
+static const dws_kind_t *submitted_kind(dws_node_t *node,
+					const Dws__Submit *submit)
+{
+	dws_config_t *config = dws_fold_config(node->fold);
+
+	if (!config || !submit->request)
+		return NULL;
+	return dws_config_kind(config, submit->request->kind);
+}
+
+/* Decides on a submitted request that is well-formed. */
+static void admit_submitted(dws_node_t *node, dws_request_t *request,
+			    const char *ticket)
+{
+	GError *error = NULL;
+	dws_result_t result =
+		dws_result_refused(DWS_OUTCOME_NOT_RUN, DWS_REASON_BAD_TICKET);
+
+	if (request->context.place == 0 &&
+	    !dws_ticket_verify(&node->mint, ticket, request->kind.name,
+			       &error)) {
+		result.detail = error->message;
+		dws_request_settle(node, request, &result);
+		g_error_free(error);
+		return;
+	}
+	dws_home_admit(node, request);
+}
+
+/* Takes a request from the peer that received it, as its home. */
+void dws_request_from_submit(dws_node_t *node, const dws_origin_t *origin,
+			     const Dws__Submit *submit)
+{
+	dws_remote_id_t remote = {.epoch = origin->epoch,
+				  .id = submit->call_id};
+	const dws_kind_t *kind = submitted_kind(node, submit);
+	dws_context_t context;
+	dws_payload_t payload;
+
+	if (g_hash_table_contains(node->submits, &remote))
+		return;
+	if (dws_fence_has(node, &remote)) {
+		refuse_submit(node, origin, submit->call_id,
+			      DWS_OUTCOME_NOT_RUN, DWS_REASON_CANCELLED);
+		return;
+	}
+	if (!kind ||
+	    !dws_context_from_wire(node, submit->context,
+				   dws_node_waited_us(node), &context) ||
+	    context.home_epoch != node->epoch ||
+	    !dws_payload_from_wire(submit->request, &payload)) {
+		refuse_submit(node, origin, submit->call_id,
+			      DWS_OUTCOME_UNKNOWN, DWS_REASON_HOME_UNREACHABLE);
+		return;
+	}
+	dws_request_t *request = create(node, dws_node_next_id(node));
+
+	request->from_peer = true;
+	request->submitter = *origin;
+	request->submit_id = submit->call_id;
+	request->kind = *kind;
+	request->kind.priority = (uint8_t)CLAMP(submit->priority, 0, 7);
+	request->context = context;
+	request->payload = payload;
+	g_hash_table_insert(node->submits, g_memdup2(&remote, sizeof(remote)),
+			    request);
+	arm_deadline(node, request);
+	admit_submitted(node, request, submit->ticket);
+}
--- /dev/null
+++ b/src/request/ledger.c
@@ -0,0 +1,196 @@
+/*
+ * The fates of non-idempotent requests at their home.
+ */
+#include "request/ledger.h"
+#include "request/ticket.h"
+
+/* Part of the capacity that closed entries may take, as a divisor. */
+#define CLOSED_DIVISOR 4
+
+static guint hash_key(gconstpointer data)
+{
+	return (guint)dws_hash_bytes(DWS_HASH_START, data,
+				     sizeof(dws_ledger_key_t));
+}
+
+static gboolean equal_key(gconstpointer a, gconstpointer b)
+{
+	const dws_ledger_key_t *left = a;
+	const dws_ledger_key_t *right = b;
+
+	return left->serial == right->serial && left->place == right->place;
+}
+
+static void free_entry(gpointer data)
+{
+	dws_ledger_entry_t *entry = data;
+
+	g_array_free(entry->waiters, true);
+	g_free(entry->content_type);
+	if (entry->body)
+		g_bytes_unref(entry->body);
+	g_free(entry);
+}
+
+/* Starts an empty ledger on memory of the caller. */
+void dws_ledger_init(dws_ledger_t *ledger, uint32_t capacity,
+		     size_t stored_capacity_bytes)
+{
+	*ledger = (dws_ledger_t){
+		.entries = g_hash_table_new_full(hash_key, equal_key, NULL,
+						 free_entry),
+		.capacity = capacity,
+		.stored_capacity_bytes = stored_capacity_bytes,
+	};
+}
+
+/* Frees all entries. */
+void dws_ledger_finish(dws_ledger_t *ledger)
+{
+	g_hash_table_destroy(ledger->entries);
+}
+
+/* Finds an entry; it stays the ledger's. */
+dws_ledger_entry_t *dws_ledger_find(dws_ledger_t *ledger,
+				    const dws_ledger_key_t *key)
+{
+	return g_hash_table_lookup(ledger->entries, key);
+}
+
+/* True if a root without an entry may not be run any more. */
+bool dws_ledger_is_closed(const dws_ledger_t *ledger,
+			  const dws_ledger_key_t *key)
+{
+	return key->place == 0 && key->serial <= ledger->closed_below;
+}
+
+static dws_ledger_entry_t *insert(dws_ledger_t *ledger,
+				  const dws_ledger_key_t *key, dws_fate_t fate,
+				  int64_t expires_us)
+{
+	dws_ledger_entry_t *entry = g_new0(dws_ledger_entry_t, 1);
+
+	entry->key = *key;
+	entry->fate = fate;
+	entry->expires_us = expires_us;
+	entry->waiters = g_array_new(false, false, sizeof(uint64_t));
+	g_hash_table_insert(ledger->entries, &entry->key, entry);
+	return entry;
+}
+
+/*
+ * Adds a running entry. NULL if there is no room for it or for its answer;
+ * the caller then refuses the request.
+ */
+dws_ledger_entry_t *dws_ledger_add(dws_ledger_t *ledger,
+				   const dws_ledger_key_t *key, uint64_t digest,
+				   uint64_t request_id, int64_t expires_us)
+{
+	if (dws_ledger_size(ledger) >= ledger->capacity ||
+	    ledger->stored_bytes >= ledger->stored_capacity_bytes)
+		return NULL;
+	dws_ledger_entry_t *entry =
+		insert(ledger, key, DWS_FATE_RUNNING, expires_us);
+
+	entry->digest = digest;
+	entry->request_id = request_id;
+	return entry;
+}
+
+/* Stores a whole answer; also a late one, after UNKNOWN. */
+void dws_ledger_complete(dws_ledger_t *ledger, dws_ledger_entry_t *entry,
+			 uint16_t status, const char *content_type,
+			 GBytes *body)
+{
+	if (entry->fate == DWS_FATE_COMPLETE)
+		return;
+	entry->fate = DWS_FATE_COMPLETE;
+	entry->reason = DWS_REASON_NONE;
+	entry->status = status;
+	entry->content_type = g_strdup(content_type);
+	entry->body = g_bytes_ref(body);
+	ledger->stored_bytes += g_bytes_get_size(body);
+}
+
+/* Records that an answer can't be expected. */
+void dws_ledger_set_unknown(dws_ledger_entry_t *entry, dws_reason_t reason)
+{
+	entry->fate = DWS_FATE_UNKNOWN;
+	entry->reason = reason;
+}
+
+static gboolean is_closed_entry(gpointer key, gpointer value, gpointer data)
+{
+	return ((dws_ledger_entry_t *)value)->fate == DWS_FATE_CLOSED;
+}
+
+/* Replaces all closed entries by the watermark once they are many. */
+static void compact(dws_ledger_t *ledger)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (ledger->closed_count <= ledger->capacity / CLOSED_DIVISOR)
+		return;
+	g_hash_table_iter_init(&iter, ledger->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		dws_ledger_entry_t *entry = value;
+
+		if (entry->fate == DWS_FATE_CLOSED)
+			ledger->closed_below =
+				MAX(ledger->closed_below, entry->key.serial);
+	}
+	g_hash_table_foreach_remove(ledger->entries, is_closed_entry, NULL);
+	ledger->closed_count = 0;
+}
+
+/* Ends an entry that was not run. */
+void dws_ledger_close(dws_ledger_t *ledger, dws_ledger_entry_t *entry,
+		      dws_reason_t reason)
+{
+	if (entry->key.place != 0) {
+		g_hash_table_remove(ledger->entries, &entry->key);
+		return;
+	}
+	entry->fate = DWS_FATE_CLOSED;
+	entry->reason = reason;
+	ledger->closed_count++;
+	compact(ledger);
+}
+
+/* Closes a root that has no entry, so that it will never run. */
+void dws_ledger_close_unused(dws_ledger_t *ledger, const dws_ledger_key_t *key,
+			     int64_t expires_us, dws_reason_t reason)
+{
+	if (key->place != 0 || dws_ledger_is_closed(ledger, key) ||
+	    dws_ledger_find(ledger, key))
+		return;
+	dws_ledger_entry_t *entry =
+		insert(ledger, key, DWS_FATE_CLOSED, expires_us);
+
+	entry->reason = reason;
+	ledger->closed_count++;
+	compact(ledger);
+}
+
+/* Forgets an entry whose time has passed, unless it still runs. */
+void dws_ledger_expire(dws_ledger_t *ledger, const dws_ledger_key_t *key,
+		       int64_t now_us)
+{
+	dws_ledger_entry_t *entry = dws_ledger_find(ledger, key);
+
+	if (!entry || entry->expires_us > now_us ||
+	    entry->fate == DWS_FATE_RUNNING)
+		return;
+	if (entry->fate == DWS_FATE_CLOSED)
+		ledger->closed_count--;
+	if (entry->body)
+		ledger->stored_bytes -= g_bytes_get_size(entry->body);
+	g_hash_table_remove(ledger->entries, key);
+}
+
+/* The number of entries. */
+uint32_t dws_ledger_size(const dws_ledger_t *ledger)
+{
+	return g_hash_table_size(ledger->entries);
+}
--- /dev/null
+++ b/src/request/outgoing.c
@@ -0,0 +1,321 @@
+/*
+ * Requests on their way to an endpoint: choice of the endpoint, waiting for
+ * room, and forwarding to a home.
+ */
+#include "connection/envelope.h"
+#include "request/attempt.h"
+#include "request/request.h"
+
+/* Taken off the remaining time of each hop, so that verdicts arrive first. */
+#define HOP_MARGIN_DIVISOR 20
+#define HOP_MARGIN_MIN_US (1 * DWS_US_PER_MS)
+#define HOP_MARGIN_MAX_US (25 * DWS_US_PER_MS)
+
+static dws_queue_t *hold_of(dws_node_t *node, const char *service)
+{
+	dws_queue_t *queue = g_hash_table_lookup(node->holds, service);
+
+	if (!queue) {
+		queue = dws_queue_new(node->settings->max_held);
+		g_hash_table_insert(node->holds, g_strdup(service), queue);
+	}
+	return queue;
+}
+
+/* Takes a request out of the queue of those that wait for room. */
+void dws_request_unhold(dws_node_t *node, dws_request_t *request)
+{
+	if (request->state == DWS_REQUEST_HELD)
+		dws_queue_remove(hold_of(node, request->kind.service),
+				 request->id);
+}
+
+/* Looks for an endpoint again after a time. */
+void dws_request_delay(dws_node_t *node, dws_request_t *request,
+		       int64_t delay_us)
+{
+	dws_timer_t timer = {.due_us = node->now_us + delay_us,
+			     .kind = DWS_TIMER_REQUEST_ROUTE,
+			     .id = request->id};
+
+	request->state = DWS_REQUEST_DELAYED;
+	dws_timers_add(&node->timers, &timer);
+}
+
+/* Lets a request wait for room, in place of a less urgent one if need be. */
+static void hold(dws_node_t *node, dws_request_t *request)
+{
+	uint64_t displaced = 0;
+	dws_queue_item_t item = {
+		.id = request->id,
+		.kind = dws_kind_number(node, request->kind.name),
+		.priority = request->kind.priority,
+		.worth = MAX(request->kind.worth, 1),
+		.enqueued_us = node->now_us,
+		.deadline_us = request->context.deadline_us,
+	};
+
+	if (!dws_queue_push(hold_of(node, request->kind.service), &item,
+			    &displaced)) {
+		dws_request_refuse(node, request, DWS_REASON_OVERLOAD);
+		return;
+	}
+	request->state = DWS_REQUEST_HELD;
+	request->held_us = node->now_us;
+	node->holds_dirty = true;
+	dws_request_t *other =
+		displaced ? dws_request_find(node, displaced) : NULL;
+
+	if (other) {
+		other->state = DWS_REQUEST_DELAYED;
+		dws_request_refuse(node, other, DWS_REASON_OVERLOAD);
+	}
+}
+
+static int64_t hop_margin_us(int64_t remaining_us)
+{
+	return CLAMP(remaining_us / HOP_MARGIN_DIVISOR, HOP_MARGIN_MIN_US,
+		     HOP_MARGIN_MAX_US);
+}
+
+/* The context of an attempt: less time, and a part of the retry budget. */
+static dws_context_t attempt_context(const dws_node_t *node,
+				     const dws_request_t *request)
+{
+	dws_context_t context = request->context;
+
+	context.deadline_us -=
+		hop_margin_us(context.deadline_us - node->now_us);
+	context.parent_span = request->span_id;
+	context.tokens = request->attempt_tokens;
+	return context;
+}
+
+static void send_to_self(dws_node_t *node, dws_request_t *request)
+{
+	dws_origin_t self = {.epoch = node->epoch,
+			     .frame = node->settings->frame_listen};
+	dws_work_t work = {
+		.remote = {.epoch = node->epoch, .id = request->attempt_id},
+		.origin = &self,
+		.is_local = true,
+		.kind = request->kind.name,
+		.priority = request->kind.priority,
+		.worth = request->kind.worth,
+		.idempotent = request->kind.idempotent,
+		.context = attempt_context(node, request)};
+
+	g_strlcpy(self.vm_id, node->settings->vm_id, sizeof(self.vm_id));
+	dws_payload_copy(&work.payload, &request->payload);
+	dws_attempt_accept(node, &work);
+}
+
+static void send_to_peer(dws_node_t *node, dws_request_t *request)
+{
+	Dws__Envelope envelope = DWS__ENVELOPE__INIT;
+	Dws__Execute execute = DWS__EXECUTE__INIT;
+	Dws__Context wire_context;
+	Dws__Request wire_request;
+	dws_context_t context = attempt_context(node, request);
+
+	dws_context_to_wire(node, &context, &wire_context);
+	dws_payload_to_wire(&request->payload, &wire_request);
+	wire_request.kind = request->kind.name;
+	execute.attempt_id = request->attempt_id;
+	execute.context = &wire_context;
+	execute.request = &wire_request;
+	execute.idempotent = request->kind.idempotent;
+	execute.priority = request->kind.priority;
+	execute.worth = request->kind.worth;
+	envelope.body_case = DWS__ENVELOPE__BODY_EXECUTE;
+	envelope.execute = &execute;
+	dws_envelope_send(node, &request->target, request->target_epoch,
+			  &envelope);
+}
+
+/* Sends a request to the chosen endpoint as a new attempt. */
+static void send(dws_node_t *node, dws_request_t *request,
+		 const dws_member_t *member)
+{
+	if (request->held_us) {
+		dws_count(node, DWS_COUNT_HELD);
+		dws_counters_time(&node->counters, DWS_HIST_HOLD,
+				  node->now_us - request->held_us);
+		request->held_us = 0;
+	}
+	if (request->attempt_id) {
+		dws_count(node, DWS_COUNT_RETRIES);
+		g_hash_table_remove(node->sent, &request->attempt_id);
+	}
+	dws_count(node, DWS_COUNT_ATTEMPTS);
+	request->state = DWS_REQUEST_SENT;
+	request->attempt_id = dws_node_next_id(node);
+	g_hash_table_insert(node->sent, &request->attempt_id, request);
+	request->attempt_tokens = request->context.tokens / 2;
+	request->context.tokens -= request->attempt_tokens;
+	g_strlcpy(request->target_vm, member->vm_id,
+		  sizeof(request->target_vm));
+	request->target_epoch = member->epoch;
+	request->target = member->frame;
+	dws_routing_started(node->routing, member->vm_id);
+	if (member->epoch == node->epoch)
+		send_to_self(node, request);
+	else
+		send_to_peer(node, request);
+}
+
+/* The endpoint that has room for a request now; NULL if it has to wait. */
+static const dws_member_t *pick(dws_node_t *node, const dws_request_t *request)
+{
+	const dws_member_t *member = NULL;
+
+	if (!dws_node_is_open(node) ||
+	    dws_routing_pick(node->routing, node->now_us, request->kind.service,
+			     request->kind.priority, request->excluded,
+			     &member) != DWS_ROUTE_FOUND)
+		return NULL;
+	return member;
+}
+
+/*
+ * Sends a request to an endpoint with room, or lets it wait for one. None
+ * overtakes those of its service that wait already.
+ */
+void dws_request_route(dws_node_t *node, dws_request_t *request)
+{
+	dws_queue_t *queue = hold_of(node, request->kind.service);
+	const dws_member_t *member = NULL;
+
+	if (dws_queue_length(queue) == 0)
+		member = pick(node, request);
+	if (member)
+		send(node, request, member);
+	else
+		hold(node, request);
+}
+
+static void pump_hold(dws_node_t *node, dws_queue_t *queue)
+{
+	dws_queue_item_t item;
+
+	while (dws_queue_peek(queue, &item)) {
+		dws_request_t *request = dws_request_find(node, item.id);
+		const dws_member_t *member =
+			request ? pick(node, request) : NULL;
+
+		if (request && !member)
+			return;
+		dws_queue_pop(queue, &item);
+		if (request)
+			send(node, request, member);
+	}
+}
+
+/* Sends held requests while endpoints have room. */
+void dws_request_pump_holds(dws_node_t *node)
+{
+	GHashTableIter iter;
+	gpointer queue;
+
+	g_hash_table_iter_init(&iter, node->holds);
+	while (g_hash_table_iter_next(&iter, NULL, &queue))
+		pump_hold(node, queue);
+}
+
+/* When held requests may find room again, or DWS_NEVER_US. */
+int64_t dws_request_holds_due_us(dws_node_t *node)
+{
+	GHashTableIter iter;
+	gpointer service;
+	gpointer queue;
+	int64_t due_us = DWS_NEVER_US;
+
+	g_hash_table_iter_init(&iter, node->holds);
+	while (g_hash_table_iter_next(&iter, &service, &queue)) {
+		if (dws_queue_length(queue) == 0)
+			continue;
+		due_us = MIN(due_us,
+			     dws_routing_retry_us(node->routing, node->now_us,
+						  service));
+	}
+	return due_us;
+}
+
+/* Hands a request to its home; safe to repeat, as the home joins repeats. */
+void dws_request_forward(dws_node_t *node, dws_request_t *request)
+{
+	const dws_member_t *home =
+		dws_membership_find(node->membership, request->context.home_vm);
+	Dws__Envelope envelope = DWS__ENVELOPE__INIT;
+	Dws__Submit submit = DWS__SUBMIT__INIT;
+	Dws__Context wire_context;
+	Dws__Request wire_request;
+
+	if (!home ||
+	    (home->epoch != 0 && home->epoch != request->context.home_epoch)) {
+		dws_result_t result = dws_result_refused(
+			DWS_OUTCOME_UNKNOWN, DWS_REASON_HOME_UNREACHABLE);
+
+		dws_request_settle(node, request, &result);
+		return;
+	}
+	request->state = DWS_REQUEST_FORWARDED;
+	request->submits++;
+	request->target = home->frame;
+	request->target_epoch = request->context.home_epoch;
+	dws_context_to_wire(node, &request->context, &wire_context);
+	wire_context.remaining_us -=
+		(uint32_t)MIN(hop_margin_us(wire_context.remaining_us),
+			      wire_context.remaining_us);
+	dws_payload_to_wire(&request->payload, &wire_request);
+	wire_request.kind = request->kind.name;
+	submit.call_id = request->id;
+	submit.context = &wire_context;
+	submit.request = &wire_request;
+	submit.priority = request->kind.priority;
+	if (request->ticket)
+		submit.ticket = request->ticket;
+	envelope.body_case = DWS__ENVELOPE__BODY_SUBMIT;
+	envelope.submit = &submit;
+	dws_envelope_send(node, &request->target, request->target_epoch,
+			  &envelope);
+}
+
+/* Stops an attempt of idempotent work that nobody waits for. */
+void dws_request_cancel_attempt(dws_node_t *node, dws_request_t *request)
+{
+	Dws__Envelope envelope = DWS__ENVELOPE__INIT;
+	Dws__Cancel cancel = DWS__CANCEL__INIT;
+	dws_remote_id_t remote = {.epoch = node->epoch,
+				  .id = request->attempt_id};
+
+	if (request->state != DWS_REQUEST_SENT)
+		return;
+	dws_routing_cancelled(node->routing, request->target_vm);
+	if (request->target_epoch == node->epoch) {
+		dws_attempt_cancel(node, &remote);
+		return;
+	}
+	cancel.id = request->attempt_id;
+	envelope.body_case = DWS__ENVELOPE__BODY_CANCEL;
+	envelope.cancel = &cancel;
+	dws_envelope_send(node, &request->target, request->target_epoch,
+			  &envelope);
+}
+
+/* Asks for the fate of an attempt whose stream broke. */
+void dws_request_recall(dws_node_t *node, dws_request_t *request)
+{
+	Dws__Envelope envelope = DWS__ENVELOPE__INIT;
+	Dws__Recall recall = DWS__RECALL__INIT;
+
+	if (request->target_epoch == 0)
+		return;
+	dws_count(node, DWS_COUNT_RECALLS);
+	request->recalled_us = node->now_us;
+	recall.attempt_id = request->attempt_id;
+	envelope.body_case = DWS__ENVELOPE__BODY_RECALL;
+	envelope.recall = &recall;
+	dws_envelope_send(node, &request->target, request->target_epoch,
+			  &envelope);
+}
--- /dev/null
+++ b/src/request/request.h
@@ -0,0 +1,73 @@
+/*
+ * Requests at the daemon that took them: from a caller, from the local
+ * upstream (nested calls), or from a peer for which this daemon is the home.
+ */
+#ifndef DWS_REQUEST_REQUEST_H
+#define DWS_REQUEST_REQUEST_H
+
+#include "process/node_internal.h"
+
+/* How a request ends; texts stay the caller's. */
+typedef struct dws_result {
+	dws_outcome_t outcome;
+	dws_reason_t reason;
+	uint16_t status;
+	const char *content_type;
+	GBytes *body; /* NULL: none */
+	uint32_t retry_after_ms;
+	const char *detail; /* NULL: the usual one of the reason */
+} dws_result_t;
+
+/* How long after the deadline a Recall's reply proves that nothing ran. */
+#define DWS_RECALL_TRUST_US (10 * DWS_US_PER_S)
+
+void dws_request_free(gpointer request);
+/* A result without an answer, with the HTTP status of its reason. */
+dws_result_t dws_result_refused(dws_outcome_t outcome, dws_reason_t reason);
+
+/* intake.c: new requests */
+void dws_request_from_call(dws_node_t *node, uint64_t id,
+			   const dws_call_t *call);
+void dws_request_from_submit(dws_node_t *node, const dws_origin_t *origin,
+			     const Dws__Submit *submit);
+/* Applies a planned slowdown, then looks for an endpoint. */
+void dws_request_start(dws_node_t *node, dws_request_t *request);
+
+/* home.c: what a home knows of non-idempotent requests */
+void dws_home_admit(dws_node_t *node, dws_request_t *request);
+void dws_home_expire(dws_node_t *node, const dws_ledger_key_t *key);
+
+/* routing of requests to endpoints: outgoing.c */
+void dws_request_route(dws_node_t *node, dws_request_t *request);
+void dws_request_delay(dws_node_t *node, dws_request_t *request,
+		       int64_t delay_us);
+void dws_request_forward(dws_node_t *node, dws_request_t *request);
+void dws_request_pump_holds(dws_node_t *node);
+void dws_request_unhold(dws_node_t *node, dws_request_t *request);
+void dws_request_cancel_attempt(dws_node_t *node, dws_request_t *request);
+void dws_request_recall(dws_node_t *node, dws_request_t *request);
+/* When held requests may find room again, or DWS_NEVER_US. */
+int64_t dws_request_holds_due_us(dws_node_t *node);
+
+/* fate.c: how requests end */
+void dws_request_on_reply(dws_node_t *node, const dws_origin_t *from,
+			  const dws_reply_t *reply);
+void dws_request_on_deadline(dws_node_t *node, uint64_t id);
+void dws_request_on_route_timer(dws_node_t *node, uint64_t id);
+void dws_request_caller_gone(dws_node_t *node, uint64_t id);
+/* Ends a nested call whose parent has ended. */
+void dws_request_cancel(dws_node_t *node, uint64_t id);
+void dws_request_stream_lost(dws_node_t *node, const dws_address_t *to);
+void dws_request_member_changed(dws_node_t *node, const dws_member_t *member);
+/* Answers whoever waits and ends the request, its ledger entry included. */
+void dws_request_settle(dws_node_t *node, dws_request_t *request,
+			const dws_result_t *result);
+/* The same for a request that was never sent. */
+void dws_request_refuse(dws_node_t *node, dws_request_t *request,
+			dws_reason_t reason);
+/* Answers whoever waits; the request stays. */
+void dws_request_deliver(dws_node_t *node, dws_request_t *request,
+			 const dws_result_t *result);
+dws_request_t *dws_request_find(dws_node_t *node, uint64_t id);
+
+#endif
--- /dev/null
+++ b/src/request/result.c
@@ -0,0 +1,79 @@
+/*
+ * Results without an answer: their HTTP status and remedy by reason.
+ */
+#include "request/request.h"
+
+typedef struct dws_reason_text {
+	uint16_t status;
+	uint32_t retry_after_ms;
+	const char *detail;
+} dws_reason_text_t;
+
+static const dws_reason_text_t reason_texts[DWS_REASON_COUNT] = {
+	[DWS_REASON_BAD_REQUEST] = {400, 0,
+				    "the request is malformed; mend it"},
+	[DWS_REASON_NO_KIND] = {404, 0,
+				"no kind of work matches this method and "
+				"path; check them against the configuration"},
+	[DWS_REASON_NO_TICKET] = {428, 0,
+				  "this kind of work is not idempotent; send "
+				  "it again with Dogwoodshift-Ticket set to "
+				  "the Dogwoodshift-Next-Ticket given here"},
+	[DWS_REASON_BAD_TICKET] = {400, 0,
+				   "pass on a ticket as it was given, with "
+				   "the kind of request it was given for"},
+	[DWS_REASON_TICKET_EXPIRED] = {410, 0,
+				       "the ticket has expired; if the "
+				       "outcome is not-run, use the next "
+				       "ticket"},
+	[DWS_REASON_TICKET_REUSED] = {422, 0,
+				      "the ticket or idempotency key belongs "
+				      "to a different request; use another"},
+	[DWS_REASON_HOME_UNREACHABLE] = {504, 1000,
+					 "the daemon that knows the fate of "
+					 "this request can't be reached; ask "
+					 "again with the same ticket"},
+	[DWS_REASON_NO_PARENT] = {400, 0,
+				  "pass on Dogwoodshift-Call of the request "
+				  "that is being served, while it is served"},
+	[DWS_REASON_TOO_DEEP] = {400, 0,
+				 "the chain has more than 16 hops; look for "
+				 "a loop of calls"},
+	[DWS_REASON_RETRY_BUDGET] = {429, 0,
+				     "the retries of this customer request "
+				     "are used up; let it fail"},
+	[DWS_REASON_CUSTOMER_BUDGET] = {429, 1000,
+					"too many retries of this customer; "
+					"wait before the next"},
+	[DWS_REASON_OVERLOAD] = {503, 500,
+				 "no room for this kind of work; wait, then "
+				 "try again with the next ticket, if any"},
+	[DWS_REASON_NO_ENDPOINT] = {503, 1000,
+				    "no endpoint of the service can be "
+				    "reached; wait, then try again"},
+	[DWS_REASON_DRAINING] = {503, 100,
+				 "this daemon is leaving; use another"},
+	[DWS_REASON_STARTING] = {503, 500,
+				 "this daemon has no configuration yet; wait "
+				 "or use another"},
+	[DWS_REASON_DEADLINE] = {504, 0, "the time for this request is over"},
+	[DWS_REASON_CANCELLED] = {503, 100, "the request was cancelled"},
+	[DWS_REASON_UPSTREAM_LOST] = {504, 0,
+				      "the answer of the upstream was lost"},
+	[DWS_REASON_LEDGER_FULL] = {503, 1000,
+				    "too many non-idempotent requests are "
+				    "remembered; wait or use another daemon"},
+	[DWS_REASON_TOO_LARGE] = {413, 0, "the body is too large; send less"},
+};
+
+/* A result without an answer, with the status and remedy of its reason. */
+dws_result_t dws_result_refused(dws_outcome_t outcome, dws_reason_t reason)
+{
+	const dws_reason_text_t *text = &reason_texts[reason];
+
+	return (dws_result_t){.outcome = outcome,
+			      .reason = reason,
+			      .status = text->status,
+			      .retry_after_ms = text->retry_after_ms,
+			      .detail = text->detail};
+}
--- /dev/null
+++ b/src/request/ticket.c
@@ -0,0 +1,198 @@
+/*
+ * Tickets of non-idempotent requests: "1.EPOCH.SERIAL.KIND.MAC.VM", numbers
+ * in hexadecimal.
+ */
+#include "request/ticket.h"
+#include <string.h>
+
+/* The low bits of a serial count tickets; the high bits hold the expiry. */
+#define COUNTER_BITS 24
+#define COUNTER_MASK ((1U << COUNTER_BITS) - 1)
+#define MAC_HEX_SIZE 32
+#define FNV_PRIME 0x100000001b3ULL
+
+/* Continues a hash over bytes. */
+uint64_t dws_hash_bytes(uint64_t hash, const void *data, size_t size_bytes)
+{
+	const uint8_t *bytes = data;
+
+	for (size_t i = 0; i < size_bytes; i++) {
+		hash ^= bytes[i];
+		hash *= FNV_PRIME;
+	}
+	return hash;
+}
+
+/* Continues a hash over a text and its end, so that texts can't run on. */
+uint64_t dws_hash_text(uint64_t hash, const char *text)
+{
+	if (!text)
+		text = "";
+	return dws_hash_bytes(hash, text, strlen(text) + 1);
+}
+
+static uint32_t kind_hash(const char *kind)
+{
+	return (uint32_t)dws_hash_text(DWS_HASH_START, kind);
+}
+
+/* The HMAC-SHA256 of a ticket's fields, cut to 128 bits, in hexadecimal. */
+static void compute_mac(const dws_ticket_mint_t *mint, uint64_t serial,
+			uint32_t kind, char mac[MAC_HEX_SIZE + 1])
+{
+	GHmac *hmac =
+		g_hmac_new(G_CHECKSUM_SHA256, mint->key, sizeof(mint->key));
+	uint64_t fields[3] = {mint->epoch, serial, kind};
+
+	g_hmac_update(hmac, (const guchar *)fields, sizeof(fields));
+	g_hmac_update(hmac, (const guchar *)mint->vm_id,
+		      (gssize)strlen(mint->vm_id));
+	g_strlcpy(mac, g_hmac_get_string(hmac), MAC_HEX_SIZE + 1);
+	g_hmac_unref(hmac);
+}
+
+/*
+ * Starts the mint of one process. The secret must be unguessable; the key is
+ * derived from it and the epoch. Serial numbers count from now_us.
+ */
+void dws_ticket_mint_init(dws_ticket_mint_t *mint, const char *vm_id,
+			  uint64_t epoch, uint64_t secret, int64_t now_us,
+			  int64_t ttl_us)
+{
+	GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
+	uint64_t fields[2] = {secret, epoch};
+	gsize key_size = sizeof(mint->key);
+
+	memset(mint, 0, sizeof(*mint));
+	g_checksum_update(sum, (const guchar *)fields, sizeof(fields));
+	g_checksum_get_digest(sum, mint->key, &key_size);
+	g_checksum_free(sum);
+	g_strlcpy(mint->vm_id, vm_id, sizeof(mint->vm_id));
+	mint->epoch = epoch;
+	mint->origin_us = now_us;
+	mint->ttl_us = ttl_us;
+}
+
+/* A new serial number, whose expiry is one lifetime from now. */
+uint64_t dws_ticket_serial(dws_ticket_mint_t *mint, int64_t now_us)
+{
+	int64_t expiry_ms =
+		(now_us - mint->origin_us + mint->ttl_us) / DWS_US_PER_MS;
+
+	mint->counter++;
+	return ((uint64_t)expiry_ms << COUNTER_BITS) |
+	       (mint->counter & COUNTER_MASK);
+}
+
+/* When requests of a serial number expire, on the home's clock. */
+int64_t dws_ticket_expiry_us(const dws_ticket_mint_t *mint, uint64_t serial)
+{
+	return mint->origin_us +
+	       (int64_t)(serial >> COUNTER_BITS) * DWS_US_PER_MS;
+}
+
+/* Writes the text of a new ticket for a kind of work. */
+void dws_ticket_write(dws_ticket_mint_t *mint, int64_t now_us, const char *kind,
+		      char text[DWS_TICKET_TEXT_SIZE])
+{
+	uint64_t serial = dws_ticket_serial(mint, now_us);
+	char mac[MAC_HEX_SIZE + 1];
+
+	compute_mac(mint, serial, kind_hash(kind), mac);
+	g_snprintf(text, DWS_TICKET_TEXT_SIZE,
+		   "1.%" G_GINT64_MODIFIER "x.%" G_GINT64_MODIFIER "x.%x.%s.%s",
+		   mint->epoch, serial, kind_hash(kind), mac, mint->vm_id);
+}
+
+/* Reads a hexadecimal field of at most 16 digits up to a dot. */
+static bool parse_hex(const char **text, uint64_t *value)
+{
+	const char *dot = strchr(*text, '.');
+	size_t digits = dot ? (size_t)(dot - *text) : 0;
+
+	if (digits < 1 || digits > 16)
+		return false;
+	*value = 0;
+	for (const char *c = *text; c < dot; c++) {
+		if (!g_ascii_isxdigit(*c))
+			return false;
+		*value = *value << 4 | (uint64_t)g_ascii_xdigit_value(*c);
+	}
+	*text = dot + 1;
+	return true;
+}
+
+/*
+ * Reads the text of a ticket, without authenticating it: enough to find its
+ * home. Errors: DWS_ERROR_TICKET.
+ */
+bool dws_ticket_parse(const char *text, dws_ticket_t *ticket, GError **error)
+{
+	uint64_t version;
+	uint64_t kind;
+	const char *rest = text;
+	bool ok = strlen(text) < DWS_TICKET_TEXT_SIZE &&
+		  parse_hex(&rest, &version) && version == 1 &&
+		  parse_hex(&rest, &ticket->home_epoch) &&
+		  parse_hex(&rest, &ticket->serial) &&
+		  parse_hex(&rest, &kind) && kind <= UINT32_MAX;
+	const char *vm = ok ? strchr(rest, '.') : NULL;
+
+	if (!vm || vm - rest != MAC_HEX_SIZE || vm[1] == '\0' ||
+	    strlen(vm + 1) >= sizeof(ticket->home_vm)) {
+		g_set_error(error, DWS_ERROR, DWS_ERROR_TICKET,
+			    "Dogwoodshift-Ticket: not a ticket; pass on the "
+			    "Dogwoodshift-Next-Ticket of an answer unchanged");
+		return false;
+	}
+	ticket->kind_hash = (uint32_t)kind;
+	g_strlcpy(ticket->home_vm, vm + 1, sizeof(ticket->home_vm));
+	return true;
+}
+
+/* Compares two texts of equal length in constant time. */
+static bool equal_mac(const char *a, const char *b)
+{
+	unsigned int difference = 0;
+
+	for (int i = 0; i < MAC_HEX_SIZE; i++)
+		difference |= (unsigned char)a[i] ^ (unsigned char)b[i];
+	return difference == 0;
+}
+
+/*
+ * Tells whether this process minted the text for the kind of work. Errors:
+ * DWS_ERROR_TICKET, also for a ticket of another kind.
+ */
+bool dws_ticket_verify(const dws_ticket_mint_t *mint, const char *text,
+		       const char *kind, GError **error)
+{
+	dws_ticket_t ticket;
+	char mac[MAC_HEX_SIZE + 1];
+	char expected[DWS_TICKET_TEXT_SIZE];
+
+	if (!dws_ticket_parse(text, &ticket, error))
+		return false;
+	if (ticket.kind_hash != kind_hash(kind)) {
+		g_set_error(error, DWS_ERROR, DWS_ERROR_TICKET,
+			    "Dogwoodshift-Ticket: minted for another kind of "
+			    "work than %s; ask for one with this request",
+			    kind);
+		return false;
+	}
+	compute_mac(mint, ticket.serial, ticket.kind_hash, mac);
+	g_snprintf(expected, sizeof(expected),
+		   "1.%" G_GINT64_MODIFIER "x.%" G_GINT64_MODIFIER "x.%x.",
+		   mint->epoch, ticket.serial, ticket.kind_hash);
+	size_t prefix = strlen(expected);
+
+	if (strncmp(text, expected, prefix) != 0 ||
+	    strcmp(ticket.home_vm, mint->vm_id) != 0 ||
+	    !equal_mac(text + prefix, mac)) {
+		g_set_error(error, DWS_ERROR, DWS_ERROR_TICKET,
+			    "Dogwoodshift-Ticket: not authentic; pass on the "
+			    "Dogwoodshift-Next-Ticket of an answer unchanged");
+		return false;
+	}
+	return true;
+}
--- /dev/null
+++ b/test/fuzz/fuzz_node.c
@@ -0,0 +1,736 @@
+/*
+ * Several nodes, with streams that break and deliver late, datagrams that
+ * are lost, pauses, restarts, drains, and customers who retry anywhere.
+ *
+ * The oracle keeps the executions of each identity and what customers were
+ * told: non-idempotent work is dispatched at most once, what was told "not
+ * run" never is, a whole answer is the one of its own identity, and a root
+ * request causes at most one execution for each place in its tree plus its
+ * retry budget.
+ *
+ * Fuzz runs: 800
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "process/counters.h"
+#include "process/settings.h"
+
+#define NODES 4
+#define MAX_ORDERS 24
+#define MAX_PENDING 64
+#define MAX_QUEUE 512
+#define MAX_ROOTS 256
+#define RETRY_BUDGET 2
+#define RANDOM_STEPS 300
+#define START_US (1000 * DWS_US_PER_S)
+
+#define CHECK(condition)                                                       \
+	do {                                                                   \
+		if (!(condition))                                              \
+			abort();                                               \
+	} while (0)
+
+typedef struct message {
+	GBytes *data;
+	bool is_datagram;
+	uint32_t from;
+	uint32_t to;
+	uint32_t generation; /* of the stream */
+} message_t;
+
+typedef struct pending {
+	bool used;
+	uint32_t node;
+	uint64_t attempt_id;
+	bool idempotent;
+	char identity[64];
+	bool has_nested;
+} pending_t;
+
+typedef struct order {
+	bool used;
+	char ticket[256];
+	char identity[64];
+	bool told_not_run;
+	bool told_complete;
+} order_t;
+
+typedef struct asked {
+	bool used;
+	uint32_t node;
+	uint64_t call_id;
+	int order; /* -1: browsing, -2: nested, -3: asks for a ticket */
+} asked_t;
+
+typedef struct host {
+	dws_io_t io;
+	dws_node_t *node;
+	dws_settings_t settings;
+	uint32_t index;
+	int64_t offset_us;
+	bool paused;
+	bool read_due[DWS_PLATFORM_ITEM_COUNT];
+	uint64_t read_after[DWS_PLATFORM_ITEM_COUNT];
+} host_t;
+
+static host_t hosts[NODES];
+static int64_t now_us;
+static uint64_t next_epoch;
+static message_t queue[MAX_QUEUE];
+static uint32_t queue_length;
+static uint32_t generations[NODES][NODES];
+static bool breaks[NODES][NODES];
+static pending_t pendings[MAX_PENDING];
+static order_t orders[MAX_ORDERS];
+static asked_t asked[MAX_PENDING];
+static asked_t *asking; /* the call that is being made */
+static GHashTable *executions; /* identity to count */
+static GHashTable *root_places; /* "epoch-serial" to set of places */
+static GHashTable *root_totals; /* "epoch-serial" to executions */
+
+static const char *const config_log =
+	"snapshot:\n"
+	"  sequence: 1\n"
+	"  version: 1\n"
+	"  document:\n"
+	"    services: {shop: {slots: 4}, stock: {slots: 4}}\n"
+	"    kinds:\n"
+	"      browse: {service: shop, method: GET, path_prefix: /, priority: "
+	"0,"
+	" worth: 1, idempotent: true, calls_per_parent: 1, retry_budget: 2,"
+	" timeout_ms: 1000}\n"
+	"      order: {service: shop, method: POST, path_prefix: /, priority: "
+	"2,"
+	" worth: 1, idempotent: false, calls_per_parent: 1, retry_budget: 2,"
+	" timeout_ms: 1000}\n"
+	"      look: {service: stock, method: GET, path_prefix: /, priority: 0,"
+	" worth: 1, idempotent: true, calls_per_parent: 1, retry_budget: 2,"
+	" timeout_ms: 1000}\n"
+	"      take: {service: stock, method: POST, path_prefix: /, priority: "
+	"2,"
+	" worth: 1, idempotent: false, calls_per_parent: 1, retry_budget: 2,"
+	" timeout_ms: 1000}\n"
+	"    slowdowns: {}\n"
+	"    limits: {}\n";
+
+static int64_t clock_of(const host_t *host)
+{
+	return now_us + host->offset_us;
+}
+
+static uint64_t count_of(GHashTable *table, const char *key)
+{
+	return GPOINTER_TO_SIZE(g_hash_table_lookup(table, key));
+}
+
+static void add_one(GHashTable *table, const char *key)
+{
+	g_hash_table_insert(table, g_strdup(key),
+			    GSIZE_TO_POINTER(count_of(table, key) + 1));
+}
+
+static order_t *order_of(const char *identity)
+{
+	for (int i = 0; i < MAX_ORDERS; i++) {
+		if (orders[i].used && strcmp(orders[i].identity, identity) == 0)
+			return &orders[i];
+	}
+	return NULL;
+}
+
+static bool is_pending(const char *identity)
+{
+	for (int i = 0; i < MAX_PENDING; i++) {
+		if (pendings[i].used &&
+		    strcmp(pendings[i].identity, identity) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Counts an execution against its identity and its root's bound. */
+static void execute(const pending_t *pending)
+{
+	char *root = g_strndup(
+		pending->identity,
+		(size_t)(strrchr(pending->identity, '-') - pending->identity));
+	GHashTable *places = g_hash_table_lookup(root_places, root);
+
+	if (!places) {
+		places = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       NULL);
+		g_hash_table_insert(root_places, g_strdup(root), places);
+	}
+	g_hash_table_add(places, g_strdup(pending->identity));
+	add_one(executions, pending->identity);
+	add_one(root_totals, root);
+	if (!pending->idempotent)
+		CHECK(count_of(executions, pending->identity) == 1);
+	CHECK(count_of(root_totals, root) <=
+	      g_hash_table_size(places) + RETRY_BUDGET);
+	g_free(root);
+}
+
+/* The answer that the upstream gives for an identity. */
+static char *body_of(const char *identity)
+{
+	return g_strdup_printf("answer to %s", identity);
+}
+
+static void check_told(order_t *order, const dws_answer_t *answer)
+{
+	char *body = body_of(order->identity);
+
+	switch (answer->outcome) {
+	case DWS_OUTCOME_COMPLETE:
+		CHECK(count_of(executions, order->identity) == 1);
+		CHECK(answer->body_size_bytes == strlen(body) &&
+		      memcmp(answer->body, body, strlen(body)) == 0);
+		order->told_complete = true;
+		break;
+	case DWS_OUTCOME_NOT_RUN:
+		CHECK(count_of(executions, order->identity) == 0);
+		CHECK(!is_pending(order->identity));
+		order->told_not_run = true;
+		break;
+	case DWS_OUTCOME_UNKNOWN:
+		break;
+	}
+	g_free(body);
+}
+
+static void take_ticket(const char *text)
+{
+	char **parts = g_strsplit(text, ".", 4);
+
+	for (int i = 0; i < MAX_ORDERS; i++) {
+		order_t *order = &orders[i];
+
+		if (order->used)
+			continue;
+		order->used = true;
+		g_strlcpy(order->ticket, text, sizeof(order->ticket));
+		g_snprintf(order->identity, sizeof(order->identity),
+			   "%016" G_GINT64_MODIFIER "x-%s-0",
+			   g_ascii_strtoull(parts[1], NULL, 16), parts[2]);
+		break;
+	}
+	g_strfreev(parts);
+}
+
+static void on_answer(dws_io_t *io, uint64_t call_id,
+		      const dws_answer_t *answer)
+{
+	host_t *host = (host_t *)io;
+	asked_t *found = NULL;
+
+	for (int i = 0; i < MAX_PENDING; i++) {
+		if (asked[i].used && asked[i].node == host->index &&
+		    asked[i].call_id == call_id)
+			found = &asked[i];
+	}
+	if (!found)
+		found = asking;
+	CHECK(found && found->used);
+	found->used = false;
+	if (found->order >= 0)
+		check_told(&orders[found->order], answer);
+	if (found->order == -3 && answer->next_ticket)
+		take_ticket(answer->next_ticket);
+}
+
+static void on_dispatch(dws_io_t *io, const dws_dispatch_t *dispatch)
+{
+	host_t *host = (host_t *)io;
+	order_t *order = order_of(dispatch->identity);
+
+	CHECK(dispatch->deadline_us > clock_of(host));
+	if (!dispatch->idempotent) {
+		CHECK(count_of(executions, dispatch->identity) == 0);
+		CHECK(!is_pending(dispatch->identity));
+	}
+	CHECK(!order || !order->told_not_run);
+	for (int i = 0; i < MAX_PENDING; i++) {
+		pending_t *pending = &pendings[i];
+
+		if (pending->used)
+			continue;
+		pending->used = true;
+		pending->node = host->index;
+		pending->attempt_id = dispatch->attempt_id;
+		pending->idempotent = dispatch->idempotent;
+		pending->has_nested = false;
+		g_strlcpy(pending->identity, dispatch->identity,
+			  sizeof(pending->identity));
+		return;
+	}
+	abort(); /* more running than all slots together */
+}
+
+static pending_t *find_pending(uint32_t node, uint64_t attempt_id)
+{
+	for (int i = 0; i < MAX_PENDING; i++) {
+		if (pendings[i].used && pendings[i].node == node &&
+		    pendings[i].attempt_id == attempt_id)
+			return &pendings[i];
+	}
+	return NULL;
+}
+
+static void on_cancel(dws_io_t *io, uint64_t attempt_id)
+{
+	pending_t *pending = find_pending(((host_t *)io)->index, attempt_id);
+
+	CHECK(pending && pending->idempotent);
+	execute(pending);
+	pending->used = false;
+}
+
+static void enqueue(host_t *host, const dws_address_t *to, const uint8_t *data,
+		    size_t size_bytes, bool is_datagram)
+{
+	uint32_t target = (uint32_t)(to->port / 10U) - 1;
+
+	if (target >= NODES || queue_length == MAX_QUEUE)
+		return;
+	message_t *message = &queue[queue_length++];
+
+	message->data = g_bytes_new(data, size_bytes);
+	message->is_datagram = is_datagram;
+	message->from = host->index;
+	message->to = target;
+	message->generation = generations[host->index][target];
+}
+
+static void on_frame(dws_io_t *io, const dws_address_t *to, const uint8_t *data,
+		     size_t size_bytes)
+{
+	enqueue((host_t *)io, to, data, size_bytes, false);
+}
+
+static void on_datagram(dws_io_t *io, const dws_address_t *to,
+			const uint8_t *data, size_t size_bytes)
+{
+	enqueue((host_t *)io, to, data, size_bytes, true);
+}
+
+static void on_read(dws_io_t *io, dws_platform_item_t item, uint64_t after,
+		    int64_t wait_ms)
+{
+	host_t *host = (host_t *)io;
+
+	host->read_due[item] = true;
+	host->read_after[item] = after;
+}
+
+static void on_log(dws_io_t *io, dws_log_level_t level, const char *event,
+		   const char *fields)
+{
+}
+
+static void on_span(dws_io_t *io, const dws_span_t *span)
+{
+}
+
+static const dws_io_ops_t host_ops = {
+	.answer = on_answer,
+	.dispatch = on_dispatch,
+	.cancel = on_cancel,
+	.send_frame = on_frame,
+	.send_datagram = on_datagram,
+	.read_platform = on_read,
+	.log = on_log,
+	.span = on_span,
+};
+
+static void start_node(host_t *host)
+{
+	char *text = g_strdup_printf(
+		"vm_id: vm-%u\nzone: a\nregion: r\nservice: %s\n"
+		"callers_listen: 127.0.0.1:%u1\nupstream_listen: "
+		"127.0.0.1:%u2\nadmin_listen: 127.0.0.1:%u3\n"
+		"frame_listen: 127.0.0.1:%u4\ndatagram_listen: 127.0.0.1:%u5\n"
+		"upstream: 127.0.0.1:%u6\nplatform: 127.0.0.1:7\n"
+		"upstream_slots: 4\nmax_queue: 4\nmax_held: 8\n"
+		"max_ledger_entries: 16\nticket_ttl_ms: 5000\n"
+		"seeds: [{frame: 127.0.0.1:14, datagram: 127.0.0.1:15}]\n",
+		host->index, host->index % 2 ? "stock" : "shop",
+		host->index + 1, host->index + 1, host->index + 1,
+		host->index + 1, host->index + 1, host->index + 1);
+
+	host->io.ops = &host_ops;
+	CHECK(dws_settings_parse(&host->settings, text, strlen(text), "fuzz",
+				 NULL));
+	g_free(text);
+	memset(host->read_due, 0, sizeof(host->read_due));
+	next_epoch++;
+	host->node = g_malloc(dws_node_size_bytes());
+	dws_node_init(host->node, &host->settings, &host->io, next_epoch,
+		      next_epoch, clock_of(host), (int64_t)next_epoch);
+}
+
+static void answer_reads(host_t *host)
+{
+	for (int i = 0; i < DWS_PLATFORM_ITEM_COUNT; i++) {
+		bool news =
+			i == DWS_PLATFORM_CONFIG && host->read_after[i] == 0;
+
+		if (!host->read_due[i])
+			continue;
+		host->read_due[i] = false;
+		dws_node_platform_read(host->node, clock_of(host),
+				       (dws_platform_item_t)i, true,
+				       news ? config_log : NULL,
+				       news ? strlen(config_log) : 0);
+	}
+}
+
+static void tell_breaks(host_t *host)
+{
+	for (uint32_t to = 0; to < NODES; to++) {
+		dws_address_t address = {.ip = "127.0.0.1",
+					 .port = (uint16_t)(10 * to + 14)};
+
+		if (!breaks[host->index][to])
+			continue;
+		breaks[host->index][to] = false;
+		dws_node_stream_lost(host->node, clock_of(host), &address);
+	}
+}
+
+static void tick(host_t *host)
+{
+	if (host->paused)
+		return;
+	dws_node_tick(host->node, clock_of(host),
+		      clock_of(host) / DWS_US_PER_MS);
+	tell_breaks(host);
+	answer_reads(host);
+}
+
+static void advance(int64_t step_us)
+{
+	now_us += step_us;
+	for (int i = 0; i < NODES; i++)
+		tick(&hosts[i]);
+}
+
+/* Delivers one message; frames of one stream stay in order. */
+static void deliver(uint32_t index, bool lose)
+{
+	message_t message = queue[index];
+	host_t *host = &hosts[message.to];
+
+	for (uint32_t i = 0; !message.is_datagram && i < index; i++) {
+		if (!queue[i].is_datagram && queue[i].from == message.from &&
+		    queue[i].to == message.to &&
+		    queue[i].generation == message.generation) {
+			message = queue[i];
+			index = i;
+		}
+	}
+	if (host->paused)
+		return;
+	memmove(&queue[index], &queue[index + 1],
+		(queue_length - index - 1) * sizeof(*queue));
+	queue_length--;
+	gsize size_bytes = 0;
+	const uint8_t *data = g_bytes_get_data(message.data, &size_bytes);
+
+	if (!lose && message.is_datagram)
+		CHECK(dws_node_datagram(host->node, clock_of(host), data,
+					size_bytes, NULL));
+	else if (!lose)
+		CHECK(dws_node_frame(host->node, clock_of(host), data,
+				     size_bytes, NULL));
+	g_bytes_unref(message.data);
+}
+
+/*
+ * Breaks a stream. What was sent on it is lost, or still arrives, out of
+ * order with what is sent on the next one.
+ */
+static void break_stream(uint32_t from, uint32_t to, bool lose)
+{
+	uint32_t kept = 0;
+
+	for (uint32_t i = 0; i < queue_length; i++) {
+		bool affected = !queue[i].is_datagram &&
+				queue[i].from == from && queue[i].to == to;
+
+		if (affected && lose)
+			g_bytes_unref(queue[i].data);
+		else
+			queue[kept++] = queue[i];
+	}
+	queue_length = kept;
+	generations[from][to]++;
+	breaks[from][to] = true;
+}
+
+static void settle_all(uint32_t rounds)
+{
+	for (uint32_t round = 0; round < rounds; round++) {
+		for (uint32_t guard = 0; queue_length && guard < 400; guard++) {
+			uint32_t index = 0;
+
+			while (index + 1 < queue_length &&
+			       hosts[queue[index].to].paused)
+				index++;
+			deliver(index, false);
+		}
+		advance(50 * DWS_US_PER_MS);
+	}
+}
+
+static asked_t *free_asked(uint32_t node, int order)
+{
+	for (int i = 0; i < MAX_PENDING; i++) {
+		if (asked[i].used)
+			continue;
+		asked[i] =
+			(asked_t){.used = true, .node = node, .order = order};
+		return &asked[i];
+	}
+	return NULL;
+}
+
+static void call(uint32_t node, int order, dws_call_t *request)
+{
+	asked_t *slot = free_asked(node, order);
+
+	if (!slot || hosts[node].paused)
+		return;
+	asking = slot;
+	uint64_t id = dws_node_call(hosts[node].node, clock_of(&hosts[node]),
+				    request);
+
+	asking = NULL;
+	slot->call_id = id;
+}
+
+static void place_order(uint32_t node, uint32_t which)
+{
+	dws_call_t request = {
+		.method = "POST", .path = "/shop/box", .customer = "ada"};
+	int order = (int)(which % MAX_ORDERS);
+
+	if (!orders[order].used) {
+		call(node, -3, &request);
+		return;
+	}
+	request.ticket = orders[order].ticket;
+	call(node, order, &request);
+}
+
+/* The used pending dispatch that a number points to; NULL if none is. */
+static pending_t *choose_pending(uint32_t which)
+{
+	for (uint32_t i = 0; i < MAX_PENDING; i++) {
+		pending_t *pending = &pendings[(which + i) % MAX_PENDING];
+
+		if (pending->used)
+			return pending;
+	}
+	return NULL;
+}
+
+static void call_nested(uint32_t which, bool idempotent)
+{
+	pending_t *pending = choose_pending(which);
+	dws_call_t request = {.method = idempotent ? "GET" : "POST",
+			      .path = "/stock/x",
+			      .is_nested = true};
+
+	if (!pending)
+		return;
+	pending->has_nested = true;
+	request.parent_attempt = pending->attempt_id;
+	call(pending->node, -2, &request);
+}
+
+static void end_dispatch(uint32_t which, uint32_t how)
+{
+	pending_t *chosen = choose_pending(which);
+	dws_dispatch_outcome_t outcome = {.status = 200};
+
+	if (!chosen || hosts[chosen->node].paused)
+		return;
+	pending_t pending = *chosen;
+	host_t *host = &hosts[pending.node];
+	char *body = body_of(pending.identity);
+
+	chosen->used = false;
+	if (how % 16 == 0 && !pending.has_nested)
+		outcome.result = DWS_DISPATCH_NOT_SENT;
+	else if (how % 16 == 1)
+		outcome.result = DWS_DISPATCH_LOST;
+	outcome.refused = how % 16 == 2;
+	if (outcome.result != DWS_DISPATCH_NOT_SENT &&
+	    !(outcome.refused && !pending.has_nested))
+		execute(&pending);
+	outcome.body = (const uint8_t *)body;
+	outcome.body_size_bytes = strlen(body);
+	dws_node_dispatched(host->node, clock_of(host), pending.attempt_id,
+			    &outcome);
+	g_free(body);
+}
+
+/* Kills a process: whatever it dispatched may have run. */
+static void restart(host_t *host)
+{
+	for (int i = 0; i < MAX_PENDING; i++) {
+		if (pendings[i].used && pendings[i].node == host->index) {
+			execute(&pendings[i]);
+			pendings[i].used = false;
+		}
+		if (asked[i].used && asked[i].node == host->index)
+			asked[i].used = false;
+	}
+	for (uint32_t peer = 0; peer < NODES; peer++) {
+		break_stream(host->index, peer, false);
+		breaks[host->index][peer] = false;
+		break_stream(peer, host->index, true);
+	}
+	dws_node_finish(host->node);
+	g_free(host->node);
+	host->paused = false;
+	start_node(host);
+}
+
+static void hang_up(uint32_t which)
+{
+	asked_t *slot = &asked[which % MAX_PENDING];
+
+	if (!slot->used || hosts[slot->node].paused)
+		return;
+	slot->used = false;
+	dws_node_caller_gone(hosts[slot->node].node,
+			     clock_of(&hosts[slot->node]), slot->call_id);
+}
+
+static void step(uint8_t action, uint8_t a, uint8_t b)
+{
+	dws_call_t browse = {.method = "GET", .path = "/shop/x"};
+
+	switch (action % 16) {
+	case 0:
+	case 1:
+		advance((a % 64 + 1) * DWS_US_PER_MS);
+		break;
+	case 2:
+		place_order(a % NODES, b);
+		break;
+	case 3:
+		call(a % NODES, -1, &browse);
+		break;
+	case 4:
+	case 5:
+	case 6:
+		if (queue_length)
+			deliver((a << 8 | b) % queue_length, false);
+		break;
+	case 7:
+		if (queue_length && queue[a % queue_length].is_datagram)
+			deliver(a % queue_length, true);
+		break;
+	case 8:
+		break_stream(a % NODES, b % NODES, a & 64);
+		break;
+	case 9:
+	case 10:
+		end_dispatch(a, b);
+		break;
+	case 11:
+		call_nested(a, b & 1);
+		break;
+	case 12:
+		hang_up(a);
+		break;
+	case 13:
+		hosts[a % NODES].paused = b < 48;
+		break;
+	case 14:
+		if (b < 32)
+			restart(&hosts[a % NODES]);
+		else if (b < 48 && !hosts[a % NODES].paused)
+			dws_node_drain(hosts[a % NODES].node,
+				       clock_of(&hosts[a % NODES]));
+		break;
+	default:
+		if (a < 16)
+			advance((a + 1) * 200 * DWS_US_PER_MS);
+		else
+			settle_all(1);
+		break;
+	}
+}
+
+static void start_all(void)
+{
+	now_us = START_US;
+	next_epoch = 0;
+	memset(hosts, 0, sizeof(hosts));
+	memset(pendings, 0, sizeof(pendings));
+	memset(orders, 0, sizeof(orders));
+	memset(asked, 0, sizeof(asked));
+	memset(breaks, 0, sizeof(breaks));
+	queue_length = 0;
+	executions =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	root_places =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				      (GDestroyNotify)g_hash_table_destroy);
+	root_totals =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	for (uint32_t i = 0; i < NODES; i++) {
+		hosts[i].index = i;
+		hosts[i].offset_us = i * 12345678LL;
+		start_node(&hosts[i]);
+	}
+	settle_all(40);
+}
+
+static void finish_all(void)
+{
+	for (int i = 0; i < NODES; i++) {
+		dws_node_finish(hosts[i].node);
+		g_free(hosts[i].node);
+	}
+	for (uint32_t i = 0; i < queue_length; i++)
+		g_bytes_unref(queue[i].data);
+	g_hash_table_destroy(executions);
+	g_hash_table_destroy(root_places);
+	g_hash_table_destroy(root_totals);
+}
+
+/* Goes on with steps drawn from a seed, so that short inputs go deep too. */
+static void run_random(uint32_t seed)
+{
+	GRand *random = g_rand_new_with_seed(seed);
+
+	for (int i = 0; i < RANDOM_STEPS; i++)
+		step((uint8_t)g_rand_int(random), (uint8_t)g_rand_int(random),
+		     (uint8_t)g_rand_int(random));
+	g_rand_free(random);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	uint32_t seed = 1;
+
+	start_all();
+	for (size_t i = 0; i + 2 < size; i += 3) {
+		step(data[i], data[i + 1], data[i + 2]);
+		seed = seed * 31 + data[i] + data[i + 1] * 7U + data[i + 2];
+	}
+	run_random(seed);
+	for (int i = 0; i < NODES; i++)
+		hosts[i].paused = false;
+	settle_all(200);
+	finish_all();
+	return 0;
+}
--- /dev/null
+++ b/test/unit/test_node.c
@@ -0,0 +1,318 @@
+/*
+ * A node alone, driven through the public header with a hand-moved clock.
+ */
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#include "process/counters.h"
+#include "process/settings.h"
+
+#define START_US (1000 * DWS_US_PER_S)
+
+static const char *const config_log =
+	"snapshot:\n"
+	"  sequence: 1\n"
+	"  version: 1\n"
+	"  document:\n"
+	"    services: {shop: {slots: 4}}\n"
+	"    kinds:\n"
+	"      browse: {service: shop, method: GET, path_prefix: /, priority: "
+	"0,"
+	" worth: 1, idempotent: true, calls_per_parent: 1, retry_budget: 2,"
+	" timeout_ms: 1000}\n"
+	"      order: {service: shop, method: POST, path_prefix: /, priority: "
+	"2,"
+	" worth: 1, idempotent: false, calls_per_parent: 1, retry_budget: 2,"
+	" timeout_ms: 1000}\n"
+	"    slowdowns: {}\n"
+	"    limits: {}\n";
+
+/* A driver that records what the node asks for. */
+typedef struct recorder {
+	dws_io_t io;
+	dws_node_t *node;
+	dws_settings_t settings;
+	int64_t now_us;
+	uint32_t answers;
+	dws_outcome_t outcome;
+	dws_reason_t reason;
+	uint16_t status;
+	char body[64];
+	char ticket[256];
+	uint32_t dispatches;
+	uint64_t attempt_id;
+	char identity[64];
+	uint32_t cancels;
+} recorder_t;
+
+static void on_answer(dws_io_t *io, uint64_t call_id,
+		      const dws_answer_t *answer)
+{
+	recorder_t *recorder = (recorder_t *)io;
+
+	recorder->answers++;
+	recorder->outcome = answer->outcome;
+	recorder->reason = answer->reason;
+	recorder->status = answer->status;
+	memset(recorder->body, 0, sizeof(recorder->body));
+	if (answer->body)
+		memcpy(recorder->body, answer->body, answer->body_size_bytes);
+	if (answer->next_ticket)
+		g_strlcpy(recorder->ticket, answer->next_ticket,
+			  sizeof(recorder->ticket));
+}
+
+static void on_dispatch(dws_io_t *io, const dws_dispatch_t *dispatch)
+{
+	recorder_t *recorder = (recorder_t *)io;
+
+	recorder->dispatches++;
+	recorder->attempt_id = dispatch->attempt_id;
+	g_strlcpy(recorder->identity, dispatch->identity,
+		  sizeof(recorder->identity));
+}
+
+static void on_cancel(dws_io_t *io, uint64_t attempt_id)
+{
+	((recorder_t *)io)->cancels++;
+}
+
+static void on_send(dws_io_t *io, const dws_address_t *to, const uint8_t *data,
+		    size_t size_bytes)
+{
+}
+
+static void on_read(dws_io_t *io, dws_platform_item_t item, uint64_t after,
+		    int64_t wait_ms)
+{
+}
+
+static void on_log(dws_io_t *io, dws_log_level_t level, const char *event,
+		   const char *fields)
+{
+}
+
+static void on_span(dws_io_t *io, const dws_span_t *span)
+{
+}
+
+static const dws_io_ops_t recorder_ops = {
+	.answer = on_answer,
+	.dispatch = on_dispatch,
+	.cancel = on_cancel,
+	.send_frame = on_send,
+	.send_datagram = on_send,
+	.read_platform = on_read,
+	.log = on_log,
+	.span = on_span,
+};
+
+static void tick(recorder_t *recorder, int64_t step_us)
+{
+	recorder->now_us += step_us;
+	dws_node_tick(recorder->node, recorder->now_us,
+		      recorder->now_us / DWS_US_PER_MS);
+}
+
+static void start(recorder_t *recorder)
+{
+	static const char *const text = "vm_id: vm-1\n"
+					"zone: a\n"
+					"region: r\n"
+					"service: shop\n"
+					"callers_listen: 127.0.0.1:1\n"
+					"upstream_listen: 127.0.0.1:2\n"
+					"admin_listen: 127.0.0.1:3\n"
+					"frame_listen: 127.0.0.1:4\n"
+					"datagram_listen: 127.0.0.1:5\n"
+					"upstream: 127.0.0.1:6\n"
+					"platform: 127.0.0.1:7\n";
+
+	memset(recorder, 0, sizeof(*recorder));
+	recorder->io.ops = &recorder_ops;
+	recorder->now_us = START_US;
+	CU_ASSERT_TRUE_FATAL(dws_settings_parse(&recorder->settings, text,
+						strlen(text), "test", NULL));
+	recorder->node = g_malloc(dws_node_size_bytes());
+	dws_node_init(recorder->node, &recorder->settings, &recorder->io, 77, 1,
+		      recorder->now_us, 0);
+	tick(recorder, 0);
+	tick(recorder, 200 * DWS_US_PER_MS);
+	dws_node_platform_read(recorder->node, recorder->now_us,
+			       DWS_PLATFORM_CONFIG, true, config_log,
+			       strlen(config_log));
+	tick(recorder, 200 * DWS_US_PER_MS);
+}
+
+static void finish(recorder_t *recorder)
+{
+	dws_node_finish(recorder->node);
+	g_free(recorder->node);
+}
+
+static uint64_t call(recorder_t *recorder, const char *method,
+		     const char *ticket, const char *body)
+{
+	dws_call_t request = {.method = method,
+			      .path = "/shop/x",
+			      .body = (const uint8_t *)body,
+			      .body_size_bytes = strlen(body),
+			      .customer = "ada",
+			      .ticket = ticket};
+
+	return dws_node_call(recorder->node, recorder->now_us, &request);
+}
+
+static void end_dispatch(recorder_t *recorder, dws_dispatch_result_t result)
+{
+	dws_dispatch_outcome_t outcome = {.result = result,
+					  .status = 200,
+					  .content_type = "text/plain",
+					  .body = (const uint8_t *)"done",
+					  .body_size_bytes = 4};
+
+	dws_node_dispatched(recorder->node, recorder->now_us,
+			    recorder->attempt_id, &outcome);
+}
+
+static void test_browsing_is_answered(void)
+{
+	recorder_t recorder;
+
+	start(&recorder);
+	call(&recorder, "GET", NULL, "");
+	CU_ASSERT_EQUAL(recorder.dispatches, 1);
+	CU_ASSERT_EQUAL(recorder.answers, 0);
+	end_dispatch(&recorder, DWS_DISPATCH_ANSWERED);
+	CU_ASSERT_EQUAL(recorder.answers, 1);
+	CU_ASSERT_EQUAL(recorder.outcome, DWS_OUTCOME_COMPLETE);
+	CU_ASSERT_STRING_EQUAL(recorder.body, "done");
+	finish(&recorder);
+}
+
+static void test_order_needs_a_ticket_and_runs_once(void)
+{
+	recorder_t recorder;
+	char ticket[256];
+
+	start(&recorder);
+	call(&recorder, "POST", NULL, "box");
+	CU_ASSERT_EQUAL(recorder.status, 428);
+	CU_ASSERT_EQUAL(recorder.dispatches, 0);
+	g_strlcpy(ticket, recorder.ticket, sizeof(ticket));
+	call(&recorder, "POST", ticket, "box");
+	call(&recorder, "POST", ticket, "box");
+	CU_ASSERT_EQUAL(recorder.dispatches, 1);
+	end_dispatch(&recorder, DWS_DISPATCH_ANSWERED);
+	CU_ASSERT_EQUAL(recorder.answers, 3);
+	CU_ASSERT_EQUAL(recorder.outcome, DWS_OUTCOME_COMPLETE);
+	call(&recorder, "POST", ticket, "box");
+	CU_ASSERT_EQUAL(recorder.answers, 4);
+	CU_ASSERT_EQUAL(recorder.outcome, DWS_OUTCOME_COMPLETE);
+	CU_ASSERT_STRING_EQUAL(recorder.body, "done");
+	call(&recorder, "POST", ticket, "another box");
+	CU_ASSERT_EQUAL(recorder.status, 422);
+	CU_ASSERT_EQUAL(recorder.dispatches, 1);
+	finish(&recorder);
+}
+
+static void test_lost_answer_is_unknown_for_good(void)
+{
+	recorder_t recorder;
+	char ticket[256];
+
+	start(&recorder);
+	call(&recorder, "POST", NULL, "box");
+	g_strlcpy(ticket, recorder.ticket, sizeof(ticket));
+	call(&recorder, "POST", ticket, "box");
+	end_dispatch(&recorder, DWS_DISPATCH_LOST);
+	CU_ASSERT_EQUAL(recorder.outcome, DWS_OUTCOME_UNKNOWN);
+	call(&recorder, "POST", ticket, "box");
+	CU_ASSERT_EQUAL(recorder.outcome, DWS_OUTCOME_UNKNOWN);
+	CU_ASSERT_EQUAL(recorder.dispatches, 1);
+	finish(&recorder);
+}
+
+static void test_forged_ticket_is_refused(void)
+{
+	recorder_t recorder;
+
+	start(&recorder);
+	call(&recorder, "POST", NULL, "box");
+	char *digit = strrchr(recorder.ticket, '.') - 1;
+
+	*digit = *digit == '0' ? '1' : '0';
+	call(&recorder, "POST", recorder.ticket, "box");
+	CU_ASSERT_EQUAL(recorder.reason, DWS_REASON_BAD_TICKET);
+	CU_ASSERT_EQUAL(recorder.dispatches, 0);
+	finish(&recorder);
+}
+
+static void test_refused_ticket_never_runs(void)
+{
+	recorder_t recorder;
+	char ticket[256];
+
+	start(&recorder);
+	call(&recorder, "POST", NULL, "box");
+	g_strlcpy(ticket, recorder.ticket, sizeof(ticket));
+	dws_node_drain(recorder.node, recorder.now_us);
+	call(&recorder, "POST", ticket, "box");
+	CU_ASSERT_EQUAL(recorder.outcome, DWS_OUTCOME_NOT_RUN);
+	CU_ASSERT_EQUAL(recorder.reason, DWS_REASON_DRAINING);
+	CU_ASSERT_EQUAL(recorder.dispatches, 0);
+	CU_ASSERT_TRUE(dws_node_is_drained(recorder.node, recorder.now_us));
+	finish(&recorder);
+}
+
+static void test_hang_up_cancels_only_idempotent_work(void)
+{
+	recorder_t recorder;
+	uint64_t id;
+
+	start(&recorder);
+	id = call(&recorder, "GET", NULL, "");
+	dws_node_caller_gone(recorder.node, recorder.now_us, id);
+	CU_ASSERT_EQUAL(recorder.cancels, 1);
+	call(&recorder, "POST", NULL, "box");
+	id = call(&recorder, "POST", recorder.ticket, "box");
+	dws_node_caller_gone(recorder.node, recorder.now_us, id);
+	CU_ASSERT_EQUAL(recorder.cancels, 1);
+	end_dispatch(&recorder, DWS_DISPATCH_ANSWERED);
+	call(&recorder, "POST", recorder.ticket, "box");
+	CU_ASSERT_EQUAL(recorder.outcome, DWS_OUTCOME_COMPLETE);
+	finish(&recorder);
+}
+
+static void test_deadline_passes_while_paused(void)
+{
+	recorder_t recorder;
+
+	start(&recorder);
+	call(&recorder, "GET", NULL, "");
+	tick(&recorder, 5 * DWS_US_PER_S);
+	CU_ASSERT_EQUAL(recorder.answers, 1);
+	CU_ASSERT_EQUAL(recorder.outcome, DWS_OUTCOME_UNKNOWN);
+	CU_ASSERT_EQUAL(recorder.cancels, 1);
+	finish(&recorder);
+}
+
+int main(void)
+{
+	CU_initialize_registry();
+	CU_pSuite suite = CU_add_suite("node", NULL, NULL);
+
+	CU_add_test(suite, "browsing", test_browsing_is_answered);
+	CU_add_test(suite, "order", test_order_needs_a_ticket_and_runs_once);
+	CU_add_test(suite, "lost", test_lost_answer_is_unknown_for_good);
+	CU_add_test(suite, "forged", test_forged_ticket_is_refused);
+	CU_add_test(suite, "refused", test_refused_ticket_never_runs);
+	CU_add_test(suite, "hang-up",
+		    test_hang_up_cancels_only_idempotent_work);
+	CU_add_test(suite, "paused", test_deadline_passes_while_paused);
+	CU_basic_run_tests();
+	unsigned int failures = CU_get_number_of_failures();
+
+	CU_cleanup_registry();
+	return failures ? 1 : 0;
+}
