Test the transports on loopback sockets

The transports carry three promises: non-idempotent work is sent once, an answer is delivered whole or not at all, and each caller gets its own.

A waiting connection whose caller has sent the start of a next request is polled for its end, as the unread bytes hide it.

--- a/src/connection/address_io.c
+++ b/src/connection/address_io.c
@@ -40,20 +40,22 @@
 /* Reads the local address of a socket. */
 bool dws_address_of_socket(int fd, dws_address_t *address)
 {
-	struct sockaddr_storage storage;
-	const struct sockaddr_in *in4 = (struct sockaddr_in *)&storage;
-	const struct sockaddr_in6 *in6 = (struct sockaddr_in6 *)&storage;
-	socklen_t length = sizeof(storage);
+	union {
+		struct sockaddr any;
+		struct sockaddr_in in4;
+		struct sockaddr_in6 in6;
+	} local = {0};
+	socklen_t length = sizeof(local);
 
-	if (getsockname(fd, (struct sockaddr *)&storage, &length) != 0)
+	if (getsockname(fd, &local.any, &length) != 0)
 		return false;
-	if (storage.ss_family == AF_INET) {
-		address->port = ntohs(in4->sin_port);
-		return inet_ntop(AF_INET, &in4->sin_addr, address->ip,
+	if (local.any.sa_family == AF_INET) {
+		address->port = ntohs(local.in4.sin_port);
+		return inet_ntop(AF_INET, &local.in4.sin_addr, address->ip,
 				 sizeof(address->ip)) != NULL;
 	}
-	address->port = ntohs(in6->sin6_port);
-	return inet_ntop(AF_INET6, &in6->sin6_addr, address->ip,
+	address->port = ntohs(local.in6.sin6_port);
+	return inet_ntop(AF_INET6, &local.in6.sin6_addr, address->ip,
 			 sizeof(address->ip)) != NULL;
 }
 
--- a/src/connection/http_client_io.c
+++ b/src/connection/http_client_io.c
@@ -551,8 +551,8 @@
 /* Breaks off all transfers and closes all connections. */
 void dws_http_client_finish(dws_http_client_t *client)
 {
-	while (client->transfers->len)
-		free_transfer(g_ptr_array_index(client->transfers, 0));
+	for (guint left = client->transfers->len; left > 0; left--)
+		free_transfer(g_ptr_array_index(client->transfers, left - 1));
 	for (guint i = 0; i < client->idle->len; i++)
 		curl_easy_cleanup(g_ptr_array_index(client->idle, i));
 	curl_multi_cleanup(client->multi);
--- a/src/connection/http_server_io.c
+++ b/src/connection/http_server_io.c
@@ -4,6 +4,7 @@
  * until the answer is there.
  */
 #include <errno.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -22,6 +23,7 @@
 #define DISCARD_MAX_BYTES (8 * 1024 * 1024)
 #define ADMIN_CONNECTIONS_MAX 32U
 #define STOP_ROUNDS 100
+#define HANG_UP_POLL_S 0.2
 
 typedef struct request {
 	dws_listener_t *listener;
@@ -36,6 +38,7 @@
 	struct MHD_Response *response;
 	unsigned int status;
 	ev_io hang_up;
+	ev_timer hang_up_poll; /* while the start of a next request hides it */
 } request_t;
 
 /* An answer that came before the id of its call was known. */
@@ -78,10 +81,18 @@
 	ev_feed_event(listener->server->ev, &listener->timer, EV_TIMER);
 }
 
+static void stop_watching(request_t *request)
+{
+	struct ev_loop *ev = request->listener->server->ev;
+
+	ev_io_stop(ev, &request->hang_up);
+	ev_timer_stop(ev, &request->hang_up_poll);
+}
+
 /* Goes on with a connection that was suspended. */
 static void resume_request(request_t *request)
 {
-	ev_io_stop(request->listener->server->ev, &request->hang_up);
+	stop_watching(request);
 	g_hash_table_remove(request->listener->server->calls,
 			    &request->call_id);
 	request->is_waiting = false;
@@ -89,27 +100,44 @@
 	wake_listener(request->listener);
 }
 
+static void end_gone_request(request_t *request)
+{
+	dws_http_server_t *server = request->listener->server;
+	uint64_t call_id = request->call_id;
+
+	request->is_gone = true;
+	resume_request(request);
+	server->ops->caller_gone(server->context, call_id);
+}
+
 /*
  * Looks at a connection that became readable while its request waits: its
- * end means that the caller hung up; the start of a next request does not.
+ * end means that the caller hung up. The start of a next request does not,
+ * but it stays unread, and the end behind it must be asked for.
  */
 static void on_hang_up(struct ev_loop *ev, ev_io *watcher, int events)
 {
 	request_t *request = watcher->data;
-	dws_http_server_t *server = request->listener->server;
-	uint64_t call_id = request->call_id;
 	char byte;
 	ssize_t got = recv(watcher->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 
 	if (got < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
-	if (got > 0) {
-		ev_io_stop(ev, watcher);
+	if (got <= 0) {
+		end_gone_request(request);
 		return;
 	}
-	request->is_gone = true;
-	resume_request(request);
-	server->ops->caller_gone(server->context, call_id);
+	ev_io_stop(ev, watcher);
+	ev_timer_again(ev, &request->hang_up_poll);
+}
+
+static void on_hang_up_poll(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+	request_t *request = watcher->data;
+	struct pollfd end = {.fd = request->hang_up.fd, .events = POLLRDHUP};
+
+	if (poll(&end, 1, 0) == 1)
+		end_gone_request(request);
 }
 
 /* Suspends a connection until its answer is there. */
@@ -332,7 +360,10 @@
 	request->target = g_strdup(target);
 	request->body = g_byte_array_new();
 	ev_io_init(&request->hang_up, on_hang_up, -1, EV_READ);
+	ev_timer_init(&request->hang_up_poll, on_hang_up_poll, 0,
+		      HANG_UP_POLL_S);
 	request->hang_up.data = request;
+	request->hang_up_poll.data = request;
 	return request;
 }
 
@@ -349,7 +380,7 @@
 	uint64_t call_id = request->call_id;
 
 	*state = NULL;
-	ev_io_stop(server->ev, &request->hang_up);
+	stop_watching(request);
 	if (was_waiting)
 		g_hash_table_remove(server->calls, &request->call_id);
 	if (request->response)
--- /dev/null
+++ b/test/unit/test_frame_stream.c
@@ -0,0 +1,225 @@
+/*
+ * Frames over real sockets: they arrive whole however their bytes are split,
+ * malformed ones cost only their stream, and a broken stream is reported once
+ * after it has swallowed what came behind the break.
+ */
+#include "connection/stream_io.h"
+#include "io_loop.h"
+
+#define FRAME_MAX_BYTES 1000
+
+typedef struct peer {
+	struct ev_loop *ev;
+	dws_counters_t counters;
+	dws_streams_t streams;
+	GString *frames; /* each followed by '|' */
+	uint32_t wanted_bytes;
+	uint32_t lost;
+	bool refuse;
+} peer_t;
+
+static bool on_frame(void *context, const uint8_t *data, size_t size_bytes)
+{
+	peer_t *peer = context;
+
+	g_string_append_len(peer->frames, (const char *)data,
+			    (gssize)size_bytes);
+	g_string_append_c(peer->frames, '|');
+	return !peer->refuse;
+}
+
+static void on_lost(void *context, const dws_address_t *address)
+{
+	((peer_t *)context)->lost++;
+}
+
+static const dws_stream_ops_t ops = {on_frame, on_lost};
+static const dws_address_t any_port = {"127.0.0.1", 0};
+
+static void start_peer(peer_t *peer, struct ev_loop *ev)
+{
+	memset(peer, 0, sizeof(*peer));
+	peer->ev = ev;
+	peer->frames = g_string_new(NULL);
+	CU_ASSERT_TRUE_FATAL(dws_streams_init(&peer->streams, &ops, peer, ev,
+					      &peer->counters, &any_port,
+					      FRAME_MAX_BYTES, NULL));
+}
+
+static void stop_peer(peer_t *peer)
+{
+	dws_streams_finish(&peer->streams);
+	g_string_free(peer->frames, TRUE);
+}
+
+static bool has_frames(void *context)
+{
+	peer_t *peer = context;
+
+	return peer->frames->len >= peer->wanted_bytes;
+}
+
+static bool has_inbound(void *context)
+{
+	return g_hash_table_size(((peer_t *)context)->streams.inbound) > 0;
+}
+
+static bool has_lost(void *context)
+{
+	return ((peer_t *)context)->lost > 0;
+}
+
+static bool has_bad_message(void *context)
+{
+	peer_t *peer = context;
+
+	return peer->counters.counts[DWS_COUNT_BAD_MESSAGES] > 0;
+}
+
+static void test_split_and_joined(void)
+{
+	static const char bytes[] = "\0\0\0\1a\0\0\0\3bcd\0\0\0\2ef";
+	peer_t peer;
+	struct ev_loop *ev = ev_loop_new(0);
+
+	start_peer(&peer, ev);
+	int fd = io_connect(&peer.streams.listen);
+
+	for (size_t i = 0; i < sizeof(bytes) - 1; i++) {
+		io_send(fd, bytes + i, 1);
+		ev_run(ev, EVRUN_NOWAIT);
+	}
+	io_send(fd, bytes, sizeof(bytes) - 1);
+	peer.wanted_bytes = strlen("a|bcd|ef|a|bcd|ef|");
+	CU_ASSERT_TRUE(io_run_until(ev, has_frames, &peer));
+	CU_ASSERT_STRING_EQUAL(peer.frames->str, "a|bcd|ef|a|bcd|ef|");
+	CU_ASSERT_EQUAL(peer.counters.counts[DWS_COUNT_FRAMES_IN], 6);
+	CU_ASSERT_EQUAL(peer.counters.counts[DWS_COUNT_FRAME_BYTES_IN], 36);
+	close(fd);
+	stop_peer(&peer);
+	ev_loop_destroy(ev);
+}
+
+/* Sends bytes on a stream of their own and expects that it is closed. */
+static void expect_closed(peer_t *peer, const char *bytes, size_t size_bytes)
+{
+	int fd = io_connect(&peer->streams.listen);
+
+	peer->counters.counts[DWS_COUNT_BAD_MESSAGES] = 0;
+	io_send(fd, bytes, size_bytes);
+	CU_ASSERT_TRUE(io_run_until(peer->ev, has_bad_message, peer));
+	g_free(io_read(peer->ev, fd, NULL));
+	close(fd);
+}
+
+static void test_malformed(void)
+{
+	static const char truncated[] = "\0\0\0\11abc";
+	peer_t peer;
+	struct ev_loop *ev = ev_loop_new(0);
+
+	start_peer(&peer, ev);
+	int whole = io_connect(&peer.streams.listen);
+	int cut = io_connect(&peer.streams.listen);
+
+	io_send(cut, truncated, sizeof(truncated) - 1);
+	close(cut);
+	expect_closed(&peer, "\0\0\3\xe9", 4);
+	expect_closed(&peer, "\xff\xff\xff\xff", 4);
+	expect_closed(&peer, "\0\0\0\0", 4);
+	CU_ASSERT_STRING_EQUAL(peer.frames->str, "");
+	io_send(whole, "\0\0\0\1x", 5);
+	peer.wanted_bytes = 2;
+	CU_ASSERT_TRUE(io_run_until(ev, has_frames, &peer));
+	peer.refuse = true;
+	expect_closed(&peer, "\0\0\0\1y\0\0\0\1z", 10);
+	CU_ASSERT_STRING_EQUAL(peer.frames->str, "x|y|");
+	close(whole);
+	stop_peer(&peer);
+	ev_loop_destroy(ev);
+}
+
+static void test_order_between_peers(void)
+{
+	peer_t from;
+	peer_t to;
+	char text[FRAME_MAX_BYTES + 1];
+	GString *expected = g_string_new(NULL);
+	struct ev_loop *ev = ev_loop_new(0);
+
+	start_peer(&from, ev);
+	start_peer(&to, ev);
+	for (int i = 0; i < 2000; i++) {
+		int length =
+			g_snprintf(text, sizeof(text), "%0*d", 1 + i % 900, i);
+
+		g_string_append_printf(expected, "%s|", text);
+		dws_streams_send(&from.streams, &to.streams.listen,
+				 (uint8_t *)text, (size_t)length);
+		if (i % 3 == 0)
+			ev_run(ev, EVRUN_NOWAIT);
+	}
+	to.wanted_bytes = expected->len;
+	CU_ASSERT_TRUE(io_run_until(ev, has_frames, &to));
+	CU_ASSERT_STRING_EQUAL(to.frames->str, expected->str);
+	CU_ASSERT_EQUAL(from.lost, 0);
+	CU_ASSERT_EQUAL(from.counters.counts[DWS_COUNT_FRAMES_OUT], 2000);
+	g_string_free(expected, TRUE);
+	stop_peer(&from);
+	stop_peer(&to);
+	ev_loop_destroy(ev);
+}
+
+static void test_lost(void)
+{
+	peer_t from;
+	peer_t to;
+	struct ev_loop *ev = ev_loop_new(0);
+
+	start_peer(&from, ev);
+	start_peer(&to, ev);
+	dws_address_t address = to.streams.listen;
+
+	dws_streams_send(&from.streams, &address, (uint8_t *)"a", 1);
+	to.wanted_bytes = 2;
+	CU_ASSERT_TRUE(io_run_until(ev, has_frames, &to));
+	/* Behind a frame that is too large all is lost, until the report. */
+	dws_streams_send(&from.streams, &address, from.streams.scratch,
+			 FRAME_MAX_BYTES + 1);
+	dws_streams_send(&from.streams, &address, (uint8_t *)"b", 1);
+	CU_ASSERT_EQUAL(from.lost, 0);
+	CU_ASSERT_TRUE(io_run_until(ev, has_lost, &from));
+	dws_streams_send(&from.streams, &address, (uint8_t *)"c", 1);
+	to.wanted_bytes = 4;
+	CU_ASSERT_TRUE(io_run_until(ev, has_frames, &to));
+	CU_ASSERT_STRING_EQUAL(to.frames->str, "a|c|");
+	/* The end of the peer is noticed without sending anything. */
+	CU_ASSERT_TRUE(io_run_until(ev, has_inbound, &to));
+	from.lost = 0;
+	stop_peer(&to);
+	CU_ASSERT_TRUE(io_run_until(ev, has_lost, &from));
+	/* Nobody listens any more. */
+	from.lost = 0;
+	dws_streams_send(&from.streams, &address, (uint8_t *)"d", 1);
+	CU_ASSERT_EQUAL(from.lost, 0);
+	CU_ASSERT_TRUE(io_run_until(ev, has_lost, &from));
+	CU_ASSERT_EQUAL(from.lost, 1);
+	stop_peer(&from);
+	ev_loop_destroy(ev);
+}
+
+int main(void)
+{
+	CU_initialize_registry();
+	CU_pSuite suite = CU_add_suite("frame streams", NULL, NULL);
+
+	CU_add_test(suite, "split and joined", test_split_and_joined);
+	CU_add_test(suite, "malformed", test_malformed);
+	CU_add_test(suite, "order", test_order_between_peers);
+	CU_add_test(suite, "lost", test_lost);
+	CU_basic_run_tests();
+	unsigned int failures = CU_get_number_of_failures();
+
+	CU_cleanup_registry();
+	return failures ? 1 : 0;
+}
