--- a/src/connection/http_server_io.c
+++ b/src/connection/http_server_io.c
@@ -14,7 +14,7 @@
 #include "connection/http_request_io.h"
 #include "connection/http_server_io.h"
 
-#define HEAD_MAX_BYTES (32 * 1024)
+#define HEAD_MAX_BYTES (16 * 1024)
 /* A connection without a byte for so long, and without a waiting request. */
 #define SILENCE_MAX_S 15U
 /* A request must have been read whole after so long. */
