--- a/src/process/membership_receive.c
+++ b/src/process/membership_receive.c
@@ -33,10 +33,25 @@
 		MAX(self->member.incarnation, incarnation) + 1;
 }
 
+/*
+ * True if a claim is about another process of the own VM id that is gone: it
+ * is dead, or was at the address that this process holds now.
+ */
+static bool is_gone(const dws_membership_t *membership,
+		    const dws_member_t *claim)
+{
+	const dws_address_t *own = &membership->self->member.datagram;
+
+	return claim->state == DWS_MEMBER_DEAD ||
+	       (claim->datagram.port == own->port &&
+		strcmp(claim->datagram.ip, own->ip) == 0);
+}
+
 /*
  * Takes what another process says of the own VM id. Claims about this
- * process are refuted if they are worse than the truth. Against another
- * process of the id, a new process prevails; after that the order decides.
+ * process are refuted if they are worse than the truth. Over another process
+ * of the id, a new process prevails, and any process if the other is gone;
+ * else the order decides.
  */
 static void take_own_claim(dws_membership_t *membership,
 			   const dws_member_t *claim)
@@ -54,7 +69,8 @@
 	if (claim->incarnation < known ||
 	    (claim->incarnation == known && claim->epoch < self->member.epoch))
 		return;
-	if (membership->now_us - membership->started_us < NEW_PROCESS_US)
+	if (membership->now_us - membership->started_us < NEW_PROCESS_US ||
+	    is_gone(membership, claim))
 		refute(membership, claim->incarnation);
 	else
 		membership->replaced = true;
--- a/src/process/routing.c
+++ b/src/process/routing.c
@@ -289,13 +289,20 @@
 	return work / limit;
 }
 
-/* The less loaded member of a choice. */
-static const candidate_t *less_loaded(const choice_t *choice, int64_t now_us)
+/* The less loaded member of a choice; either one if they are equal. */
+static const candidate_t *less_loaded(dws_routing_t *routing,
+				      const choice_t *choice, int64_t now_us)
 {
-	if (!choice->second || load_of(choice->first->peer, now_us) <=
-				       load_of(choice->second->peer, now_us))
+	if (!choice->second)
 		return choice->first;
-	return choice->second;
+	double first = load_of(choice->first->peer, now_us);
+	double second = load_of(choice->second->peer, now_us);
+
+	if (first < second)
+		return choice->first;
+	if (second < first)
+		return choice->second;
+	return g_rand_boolean(routing->random) ? choice->first : choice->second;
 }
 
 /* The member that may be taken if none is good: the least doubtful. */
@@ -322,7 +329,7 @@
 			choose(routing, &choice, candidate);
 		}
 	}
-	return choice.seen ? less_loaded(&choice, now_us) : NULL;
+	return choice.seen ? less_loaded(routing, &choice, now_us) : NULL;
 }
 
 /* Notes that a call is going to test a member that was busy or silent. */
@@ -360,7 +367,7 @@
 				choose(routing, &choice, candidate);
 		}
 		if (choice.seen > 0)
-			chosen = less_loaded(&choice, now_us);
+			chosen = less_loaded(routing, &choice, now_us);
 	}
 	if (!chosen && any_busy)
 		return DWS_ROUTE_BUSY;
--- /dev/null
+++ b/test/unit/test_routing.c
@@ -0,0 +1,257 @@
+/*
+ * Choice of a member for a call, over a membership that a list and forged
+ * datagrams fill.
+ */
+#include <CUnit/Basic.h>
+#include <string.h>
+#include "connection/wire.pb-c.h"
+#include "process/routing.h"
+
+#define MS DWS_US_PER_MS
+
+typedef struct bench {
+	dws_settings_t settings;
+	dws_membership_t *membership;
+	dws_routing_t *routing;
+} bench_t;
+
+static void ignore_send(void *context, const dws_address_t *to,
+			const uint8_t *data, size_t size_bytes)
+{
+}
+
+static void ignore_change(void *context, const dws_member_t *member)
+{
+}
+
+static void ignore_claim(void *context, const dws_address_t *frame,
+			 const dws_claim_t *claim)
+{
+}
+
+static const dws_membership_ops_t no_ops = {
+	.send = ignore_send,
+	.changed = ignore_change,
+	.claimed = ignore_claim,
+};
+
+/* A process in zone a of region r; members are named by zone and number. */
+static void start(bench_t *bench, const char *list)
+{
+	memset(bench, 0, sizeof(*bench));
+	g_strlcpy(bench->settings.vm_id, "self", DWS_ID_SIZE);
+	g_strlcpy(bench->settings.zone, "a", DWS_ID_SIZE);
+	g_strlcpy(bench->settings.region, "r", DWS_ID_SIZE);
+	bench->settings.probe_interval_ms = 1000;
+	bench->membership =
+		dws_membership_new(&bench->settings, &no_ops, NULL, 1, 1, 0, 1);
+	bench->routing = dws_routing_new(bench->membership, 1);
+	GString *text = g_string_new("revision: 1\nvms:\n");
+	gchar **names = g_strsplit(list, " ", -1);
+
+	for (guint i = 0; names[i]; i++)
+		g_string_append_printf(
+			text,
+			"- {id: %s, ip: 10.0.0.1, frame_port: 1, "
+			"datagram_port: 1, zone: %c, region: %c, "
+			"service: s, state: live}\n",
+			names[i], names[i][0], names[i][0] == 'z' ? 'q' : 'r');
+	CU_ASSERT_FATAL(dws_membership_offer_list(bench->membership, 0,
+						  text->str, text->len, NULL));
+	g_strfreev(names);
+	g_string_free(text, TRUE);
+}
+
+static void finish(bench_t *bench)
+{
+	dws_routing_free(bench->routing);
+	dws_membership_free(bench->membership);
+}
+
+/* The VM id that a pick gives; "busy" and "none" for the other results. */
+static const char *pick(bench_t *bench, int64_t now_us, uint8_t priority,
+			const GPtrArray *excluded)
+{
+	const dws_member_t *member = NULL;
+
+	switch (dws_routing_pick(bench->routing, now_us, "s", priority,
+				 excluded, &member)) {
+	case DWS_ROUTE_BUSY:
+		return "busy";
+	case DWS_ROUTE_NONE:
+		return "none";
+	default:
+		return member->vm_id;
+	}
+}
+
+/* Ends a call with a report of a threshold and of running requests. */
+static void report(bench_t *bench, int64_t now_us, const char *vm_id,
+		   uint8_t threshold, uint32_t running)
+{
+	dws_load_t load = {threshold, running, 0, 10};
+
+	dws_routing_started(bench->routing, vm_id);
+	dws_routing_ended(bench->routing, now_us, vm_id, &load);
+}
+
+static void lose(bench_t *bench, int64_t now_us, const char *vm_id)
+{
+	dws_routing_started(bench->routing, vm_id);
+	dws_routing_ended(bench->routing, now_us, vm_id, NULL);
+}
+
+/* Takes a ping in which a member gives itself a state. */
+static void say(bench_t *bench, const char *vm_id, uint32_t state)
+{
+	Dws__Probe probe = DWS__PROBE__INIT;
+	Dws__MemberUpdate sender = DWS__MEMBER_UPDATE__INIT;
+	uint8_t bytes[500];
+
+	sender.vm_id = (char *)vm_id;
+	sender.ip = "10.0.0.1";
+	sender.frame_port = 1;
+	sender.datagram_port = 1;
+	sender.zone = "a";
+	sender.region = "r";
+	sender.service = "s";
+	sender.epoch = 5;
+	sender.incarnation = 6;
+	sender.state = state;
+	probe.sender = &sender;
+	CU_ASSERT(dws_membership_receive(bench->membership, 0, bytes,
+					 dws__probe__pack(&probe, bytes),
+					 NULL));
+}
+
+static void test_nearer_rings_go_first_until_they_are_busy(void)
+{
+	bench_t bench;
+
+	start(&bench, "a1 a2 b1 z1");
+	for (int i = 0; i < 50; i++)
+		CU_ASSERT_EQUAL(pick(&bench, 0, 1, NULL)[0], 'a');
+	report(&bench, 0, "a1", 5, 1);
+	for (int i = 0; i < 50; i++)
+		CU_ASSERT_STRING_EQUAL(pick(&bench, 1, 1, NULL), "a2");
+	report(&bench, 0, "a2", 5, 1);
+	CU_ASSERT_STRING_EQUAL(pick(&bench, 1, 1, NULL), "b1");
+	CU_ASSERT_EQUAL(pick(&bench, 1, 5, NULL)[0], 'a');
+	report(&bench, 0, "b1", 5, 1);
+	CU_ASSERT_STRING_EQUAL(pick(&bench, 1, 1, NULL), "z1");
+	report(&bench, 0, "z1", 5, 1);
+	CU_ASSERT_STRING_EQUAL(pick(&bench, 1, 1, NULL), "busy");
+	CU_ASSERT_EQUAL(dws_routing_retry_us(bench.routing, 1, "s"), 200 * MS);
+	CU_ASSERT_EQUAL(dws_routing_retry_us(bench.routing, 1, "t"),
+			DWS_NEVER_US);
+	finish(&bench);
+}
+
+static void test_stale_advice_is_tried_by_one_call_at_a_time(void)
+{
+	bench_t bench;
+
+	start(&bench, "a1");
+	report(&bench, 0, "a1", 5, 1);
+	CU_ASSERT_STRING_EQUAL(pick(&bench, 199 * MS, 1, NULL), "busy");
+	CU_ASSERT_STRING_EQUAL(pick(&bench, 200 * MS, 1, NULL), "a1");
+	CU_ASSERT_STRING_EQUAL(pick(&bench, 201 * MS, 1, NULL), "busy");
+	report(&bench, 202 * MS, "a1", 0, 1);
+	CU_ASSERT_STRING_EQUAL(pick(&bench, 203 * MS, 1, NULL), "a1");
+	CU_ASSERT_STRING_EQUAL(pick(&bench, 203 * MS, 1, NULL), "a1");
+	CU_ASSERT_EQUAL(dws_routing_load_age_us(bench.routing, 203 * MS, "a1"),
+			1 * MS);
+	finish(&bench);
+}
+
+static void test_lost_answers_keep_calls_away_for_longer_each_time(void)
+{
+	bench_t bench;
+	int64_t now_us = 0;
+	int64_t wait_us = 50 * MS;
+
+	start(&bench, "a1 a2");
+	for (int i = 0; i < 9; i++) {
+		lose(&bench, now_us, "a1");
+		lose(&bench, now_us, "a1"); /* of the same burst */
+		for (int j = 0; j < 20; j++)
+			CU_ASSERT_STRING_EQUAL(
+				pick(&bench, now_us + wait_us - 1, 1, NULL),
+				"a2");
+		now_us += wait_us;
+		while (strcmp(pick(&bench, now_us, 1, NULL), "a1") != 0)
+			continue;
+		wait_us = MIN(wait_us * 2, 5 * DWS_US_PER_S);
+	}
+	/* With nobody else, it is taken all the same. */
+	GPtrArray *excluded = g_ptr_array_new();
+
+	g_ptr_array_add(excluded, "a2");
+	lose(&bench, now_us, "a1");
+	CU_ASSERT_STRING_EQUAL(pick(&bench, now_us, 1, excluded), "a1");
+	g_ptr_array_add(excluded, "a1");
+	CU_ASSERT_STRING_EQUAL(pick(&bench, now_us, 1, excluded), "a2");
+	g_ptr_array_free(excluded, TRUE);
+	finish(&bench);
+}
+
+static void test_leaving_and_dead_are_never_taken_and_suspects_last(void)
+{
+	bench_t bench;
+
+	start(&bench, "a1 a2 a3 z1");
+	say(&bench, "a1", DWS_MEMBER_LEAVING);
+	say(&bench, "a2", DWS_MEMBER_DEAD);
+	say(&bench, "a3", DWS_MEMBER_SUSPECT);
+	for (int i = 0; i < 50; i++)
+		CU_ASSERT_STRING_EQUAL(pick(&bench, 0, 1, NULL), "z1");
+	say(&bench, "z1", DWS_MEMBER_LEAVING);
+	for (int i = 0; i < 50; i++)
+		CU_ASSERT_STRING_EQUAL(pick(&bench, 0, 1, NULL), "a3");
+	say(&bench, "a3", DWS_MEMBER_DEAD);
+	CU_ASSERT_STRING_EQUAL(pick(&bench, 0, 1, NULL), "none");
+	finish(&bench);
+}
+
+static void test_the_less_loaded_of_two_is_taken(void)
+{
+	bench_t bench;
+	guint counts[3] = {0};
+
+	start(&bench, "a0 a1 a2");
+	report(&bench, 0, "a0", 0, 9);
+	report(&bench, 0, "a1", 0, 1);
+	report(&bench, 0, "a2", 0, 1);
+	for (int i = 0; i < 300; i++) {
+		const char *vm_id = pick(&bench, 1, 1, NULL);
+
+		counts[vm_id[1] - '0']++;
+		dws_routing_started(bench.routing, vm_id);
+	}
+	CU_ASSERT(counts[0] < counts[1] && counts[0] < counts[2]);
+	CU_ASSERT(counts[1] > 90 && counts[2] > 90);
+	/* A report that never changes can't draw all calls to a member. */
+	CU_ASSERT(counts[0] > 60);
+	finish(&bench);
+}
+
+int main(void)
+{
+	CU_initialize_registry();
+	CU_pSuite suite = CU_add_suite("routing", NULL, NULL);
+
+	CU_add_test(suite, "rings",
+		    test_nearer_rings_go_first_until_they_are_busy);
+	CU_add_test(suite, "stale advice",
+		    test_stale_advice_is_tried_by_one_call_at_a_time);
+	CU_add_test(suite, "lost answers",
+		    test_lost_answers_keep_calls_away_for_longer_each_time);
+	CU_add_test(suite, "states",
+		    test_leaving_and_dead_are_never_taken_and_suspects_last);
+	CU_add_test(suite, "load", test_the_less_loaded_of_two_is_taken);
+	CU_basic_run_tests();
+	unsigned int failures = CU_get_number_of_failures();
+
+	CU_cleanup_registry();
+	return failures ? 1 : 0;
+}
