--- a/src/connection/address_io.c
+++ b/src/connection/address_io.c
@@ -104,12 +104,6 @@
 	return fd;
 }
 
-/* Tells whether two addresses are the same. */
-bool dws_address_equal(const dws_address_t *a, const dws_address_t *b)
-{
-	return a->port == b->port && strcmp(a->ip, b->ip) == 0;
-}
-
 /* Hashes an address for GHashTable. */
 guint dws_address_hash(const dws_address_t *address)
 {
--- a/src/connection/envelope.c
+++ b/src/connection/envelope.c
@@ -4,12 +4,6 @@
 #include "connection/envelope.h"
 #include <string.h>
 
-/* Compares IP numbers, as text, and ports. */
-bool dws_address_equal(const dws_address_t *a, const dws_address_t *b)
-{
-	return a->port == b->port && strcmp(a->ip, b->ip) == 0;
-}
-
 /* Wraps a message (its oneof case and member set) and sends it. */
 void dws_envelope_send(dws_node_t *node, const dws_address_t *to,
 		       uint64_t to_epoch, Dws__Envelope *envelope)
--- a/src/connection/envelope.h
+++ b/src/connection/envelope.h
@@ -5,10 +5,9 @@
 #ifndef DWS_CONNECTION_ENVELOPE_H
 #define DWS_CONNECTION_ENVELOPE_H
 
+#include "connection/address.h"
 #include "process/node_internal.h"
 
-bool dws_address_equal(const dws_address_t *a, const dws_address_t *b);
-
 /* Wraps a message (its oneof case and member set) and sends it. */
 void dws_envelope_send(dws_node_t *node, const dws_address_t *to,
 		       uint64_t to_epoch, Dws__Envelope *envelope);
