Write a stalled log out as soon as its reader goes on

After a stall the log was written once a second only, a pipe's worth at a time, and what was left at the end of the process was lost with the count of dropped lines.

--- a/src/process/log_io.c
+++ b/src/process/log_io.c
@@ -14,6 +14,8 @@
 
 #define BUFFER_MAX_BYTES (1024 * 1024)
 #define WALL_MS_PER_S 1000
+/* For a stalled reader, when the process ends. */
+#define FINISH_WAIT_MS 200
 
 static const char *const level_names[] = {
 	[DWS_LOG_ERROR] = "error",
@@ -49,15 +51,6 @@
 	return true;
 }
 
-/* Writes what is left and closes the file. */
-void dws_log_finish(dws_log_t *log)
-{
-	dws_log_flush(log);
-	g_string_free(log->buffer, TRUE);
-	if (log->owns_fd)
-		close(log->fd);
-}
-
 /* Tells whether events of a level are written at all. */
 bool dws_log_enabled(const dws_log_t *log, dws_log_level_t level)
 {
@@ -197,15 +190,18 @@
 	return left < PIPE_BUF ? left : PIPE_BUF;
 }
 
-/* Writes the buffer without ever waiting; what is left stays buffered. */
-void dws_log_flush(dws_log_t *log)
+/*
+ * Writes the buffer. What the reader has no room for within the given time
+ * stays buffered.
+ */
+static void write_buffer(dws_log_t *log, int wait_ms)
 {
 	size_t done = 0;
 
 	while (done < log->buffer->len) {
 		struct pollfd ready = {.fd = log->fd, .events = POLLOUT};
 
-		if (poll(&ready, 1, 0) != 1 || !(ready.revents & POLLOUT))
+		if (poll(&ready, 1, wait_ms) != 1 || !(ready.revents & POLLOUT))
 			break;
 		ssize_t wrote = write(log->fd, log->buffer->str + done,
 				      next_chunk(log->buffer, done));
@@ -216,3 +212,21 @@
 	}
 	g_string_erase(log->buffer, 0, (gssize)done);
 }
+
+/* Writes the buffer without ever waiting. */
+void dws_log_flush(dws_log_t *log)
+{
+	write_buffer(log, 0);
+}
+
+/*
+ * Writes what is left and closes the file. A reader that stalls is waited for
+ * briefly.
+ */
+void dws_log_finish(dws_log_t *log)
+{
+	write_buffer(log, FINISH_WAIT_MS);
+	g_string_free(log->buffer, TRUE);
+	if (log->owns_fd)
+		close(log->fd);
+}
--- a/src/process/loop_io.c
+++ b/src/process/loop_io.c
@@ -117,6 +117,8 @@
 	dws_loop_t *loop = watcher->data;
 
 	dws_log_flush(&loop->log);
+	if (loop->log.buffer->len)
+		ev_timer_start(ev, watcher);
 }
 
 /*
