Tell a slow upstream from a queuing one by halving the limit

Cause: with exponential times, and a capacity that is not the configured slots, the first adaptive limit ended at the wrong place. In a simulated upstream with 55 slots of 50 ms, saturated: after a slowdown of 5 times it kept 51 to 100 % of the best goodput for seconds; after all requests had been shed for 5 s it took over 4 s to come back; an upstream that sheds above 14 running shed two thirds of all starts. Ruled out: a lower tolerance (1.2 holds work back at 70 % load), a shorter moving average (8 samples do the same), a doubled step (the limit settles at 2.1 to 2.5 times the true capacity in place of 1.5), letting short requests count right after a halving (they prevail, and a slow upstream looks queued). What: the time is measured at the limit and after each halving, once earlier requests have ended; a fall in proportion means queuing, else the least is learned anew and tried once more 5 s later. A shed request above what lately succeeded lowers the limit to that number at once. A limit as low as a cold upstream's grows like one. The least rises slowly while the limit does not bind.

--- a/src/request/limit.h
+++ b/src/request/limit.h
@@ -30,14 +30,17 @@
 	uint32_t samples;
 	uint32_t overloads;
 	uint32_t peak_running;
+	uint32_t peak_success; /* peak of those that succeeded */
+	double start_value;
 } dws_limit_window_t;
 
-/* A halved limit, to learn whether the own time depends on it. */
+/* Measures the own time under the limit, and under half of it. */
 typedef struct dws_limit_trial {
 	bool active;
-	int64_t settled_us; /* earlier samples started before it */
-	double value_before; /* the limit before the first trial in a row */
-	double time_before_us;
+	int64_t settled_us; /* earlier samples don't count */
+	double value_before; /* the limit before the first halving */
+	double time_before_us; /* 0 until it is measured */
+	double fall; /* the least that the time has to fall to */
 	double sum_us;
 	uint32_t samples;
 } dws_limit_trial_t;
@@ -48,9 +51,12 @@
 	double value; /* adaptive */
 	double doubling_below; /* grows by doubling up to here */
 	double fastest_us; /* long-term least of the average own time */
+	double doubted_us; /* the least before it was learned anew, or 0 */
+	int64_t recheck_us; /* when the doubted least is tried again */
 	double recent_us; /* moving average of the own time */
 	uint32_t recent_samples; /* in it, up to its length */
 	dws_limit_window_t window;
+	uint32_t last_peak_success; /* of the window before */
 	dws_limit_trial_t trial;
 };
 
