Fuzz routing and sharpen two tests

Cause: a pause was not caught in the middle of a probe by its test, and the test of rising waits hung instead of failing when the wait did not rise. What: the paused process now falls asleep between ping and answer; the wait is checked by a bounded number of picks; a fuzz target checks routing against a model of member states.

--- /dev/null
+++ b/test/fuzz/fuzz_routing.c
@@ -0,0 +1,222 @@
+/*
+ * Routing over members that change state, report loads and lose answers.
+ *
+ * Oracle: nobody who is leaving or dead gets a call; while a member of the
+ * own zone has given no reason against it, the call stays in the zone; there
+ * is always an answer other than NONE while a live or suspect member exists,
+ * and BUSY needs a report that says so; counts never run off.
+ *
+ * Fuzz runs: 10000
+ */
+#include <string.h>
+#include "connection/wire.pb-c.h"
+#include "process/routing.h"
+
+#define MEMBERS 8
+#define OPS 300
+
+typedef struct model {
+	dws_member_state_t state;
+	uint64_t incarnation;
+	bool clean; /* no report and no loss since the process started */
+	int64_t busy_until_us; /* at the latest */
+	uint32_t outstanding;
+} model_t;
+
+typedef struct world {
+	dws_membership_t *membership;
+	dws_routing_t *routing;
+	model_t models[MEMBERS];
+	int64_t now_us;
+	const uint8_t *data;
+	size_t size;
+	GRand *random;
+} world_t;
+
+/* A number of the input, and after its end one that the input seeds. */
+static guint take(world_t *world, guint below)
+{
+	if (world->size == 0)
+		return (guint)g_rand_int_range(world->random, 0, (gint32)below);
+	world->size--;
+	return *world->data++ % below;
+}
+
+static void ignore_send(void *context, const dws_address_t *to,
+			const uint8_t *data, size_t size_bytes)
+{
+}
+
+static void ignore_change(void *context, const dws_member_t *member)
+{
+}
+
+static void ignore_claim(void *context, const dws_address_t *frame,
+			 const dws_claim_t *claim)
+{
+}
+
+static const dws_membership_ops_t ops = {
+	.send = ignore_send,
+	.changed = ignore_change,
+	.claimed = ignore_claim,
+};
+
+static char *name_of(guint index)
+{
+	static char *const names[MEMBERS] = {"m0", "m1", "m2", "m3",
+					     "m4", "m5", "m6", "m7"};
+
+	return names[index];
+}
+
+/* A member says its state, as a process of a new epoch or of the old one. */
+static void say(world_t *world, guint index, guint state, bool restart)
+{
+	Dws__Probe probe = DWS__PROBE__INIT;
+	Dws__MemberUpdate sender = DWS__MEMBER_UPDATE__INIT;
+	uint8_t bytes[500];
+	model_t *model = &world->models[index];
+
+	model->incarnation += restart ? 256 : 1;
+	model->state = (dws_member_state_t)state;
+	sender.vm_id = name_of(index);
+	sender.ip = "10.0.0.1";
+	sender.frame_port = 1;
+	sender.datagram_port = 1;
+	sender.zone = index < 3 ? "a" : "b";
+	sender.region = index < 5 ? "r" : "q";
+	sender.service = "s";
+	sender.epoch = model->incarnation / 256 + 1;
+	sender.incarnation = model->incarnation;
+	sender.state = state;
+	probe.sender = &sender;
+	if (restart) {
+		model->clean = true;
+		model->busy_until_us = 0;
+	}
+	g_assert(dws_membership_receive(world->membership, world->now_us, bytes,
+					dws__probe__pack(&probe, bytes), NULL));
+}
+
+static bool is_usable(const model_t *model)
+{
+	return model->state == DWS_MEMBER_ALIVE ||
+	       model->state == DWS_MEMBER_SUSPECT;
+}
+
+/* Picks, checks the choice against the model, and starts the call. */
+static void pick(world_t *world)
+{
+	const dws_member_t *member = NULL;
+	guint priority = take(world, 4);
+	GPtrArray *excluded = g_ptr_array_new();
+	bool usable = false;
+	bool clean_near = false;
+	bool maybe_busy = false;
+
+	if (take(world, 3) == 0)
+		g_ptr_array_add(excluded, name_of(take(world, MEMBERS)));
+	for (guint i = 0; i < MEMBERS; i++) {
+		const model_t *model = &world->models[i];
+		bool is_excluded =
+			excluded->len > 0 && excluded->pdata[0] == name_of(i);
+
+		usable |= is_usable(model);
+		maybe_busy |= model->state == DWS_MEMBER_ALIVE &&
+			      world->now_us < model->busy_until_us;
+		clean_near |= i < 3 && model->state == DWS_MEMBER_ALIVE &&
+			      model->clean && !is_excluded;
+	}
+	dws_route_result_t result =
+		dws_routing_pick(world->routing, world->now_us, "s",
+				 (uint8_t)priority, excluded, &member);
+
+	g_ptr_array_free(excluded, TRUE);
+	g_assert((result == DWS_ROUTE_NONE) == !usable);
+	g_assert(result != DWS_ROUTE_BUSY || maybe_busy);
+	g_assert((result == DWS_ROUTE_FOUND) == (member != NULL));
+	if (!member)
+		return;
+	guint index = (guint)(member->vm_id[1] - '0');
+
+	g_assert(is_usable(&world->models[index]));
+	g_assert(!clean_near || index < 3);
+	dws_routing_started(world->routing, member->vm_id);
+	world->models[index].outstanding++;
+}
+
+/* Ends a call, with a report or without an answer. */
+static void end(world_t *world, guint index)
+{
+	model_t *model = &world->models[index];
+	dws_load_t load = {(uint8_t)take(world, 5), take(world, 256) << 24,
+			   take(world, 256) << 24, take(world, 3)};
+	bool lost = take(world, 3) == 0;
+
+	model->clean = false;
+	if (!lost && load.threshold > 0)
+		model->busy_until_us = INT64_MAX; /* stale advice is a trial */
+	if (!lost && load.threshold == 0)
+		model->busy_until_us = 0;
+	if (model->outstanding > 0)
+		model->outstanding--;
+	dws_routing_ended(world->routing, world->now_us, name_of(index),
+			  lost ? NULL : &load);
+}
+
+static void act(world_t *world)
+{
+	guint op = take(world, 8);
+	guint index = take(world, MEMBERS);
+	model_t *model = &world->models[index];
+
+	if (op < 3) {
+		pick(world);
+	} else if (op == 3) {
+		end(world, index);
+	} else if (op == 4) {
+		world->now_us += (int64_t)take(world, 256) * DWS_US_PER_MS;
+	} else if (op == 5) {
+		say(world, index, take(world, 4), take(world, 2) == 0);
+	} else if (op == 6) {
+		dws_routing_forget(world->routing, name_of(index));
+		model->busy_until_us = 0;
+		model->clean = true;
+	} else {
+		dws_routing_retry_us(world->routing, world->now_us, "s");
+		dws_routing_load_age_us(world->routing, world->now_us,
+					name_of(index));
+	}
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	dws_settings_t settings = {
+		.vm_id = "self",
+		.zone = "a",
+		.region = "r",
+		.probe_interval_ms = 1000,
+	};
+	world_t world = {.data = data, .size = size};
+
+	guint32 hash = 5381;
+
+	for (size_t i = 0; i < size; i++)
+		hash = hash * 33 + data[i];
+	world.random = g_rand_new_with_seed(hash);
+	world.membership =
+		dws_membership_new(&settings, &ops, NULL, 1, 1, 0, 1);
+	world.routing = dws_routing_new(world.membership, 1);
+	for (guint i = 0; i < MEMBERS; i++)
+		say(&world, i, DWS_MEMBER_ALIVE, true);
+	for (int i = 0; i < OPS; i++)
+		act(&world);
+	pick(&world);
+	dws_routing_free(world.routing);
+	dws_membership_free(world.membership);
+	g_rand_free(world.random);
+	return 0;
+}
--- a/test/unit/test_membership.c
+++ b/test/unit/test_membership.c
@@ -79,6 +79,13 @@
 	fleet_node_t *paused = fleet_node(fleet, 5);
 	uint64_t before = dws_membership_self(paused->membership)->incarnation;
 
+	/* It falls asleep while it waits for an answer. */
+	uint64_t sent = paused->datagrams_sent;
+	int64_t tick_us = paused->next_tick_us;
+
+	while (paused->next_tick_us == tick_us ||
+	       paused->datagrams_sent == sent)
+		fleet_run(fleet, FLEET_STEP_US);
 	paused->paused = true;
 	CU_ASSERT(fleet_await(fleet, 5, DWS_MEMBER_SUSPECT, 11, 20 * S));
 	paused->paused = false;
--- a/test/unit/test_routing.c
+++ b/test/unit/test_routing.c
@@ -85,6 +85,17 @@
 	}
 }
 
+/* True if one of so many picks gives a member. */
+static bool picks_within(bench_t *bench, int64_t now_us, const char *vm_id,
+			 int tries)
+{
+	for (int i = 0; i < tries; i++) {
+		if (strcmp(pick(bench, now_us, 1, NULL), vm_id) == 0)
+			return true;
+	}
+	return false;
+}
+
 /* Ends a call with a report of a threshold and of running requests. */
 static void report(bench_t *bench, int64_t now_us, const char *vm_id,
 		   uint8_t threshold, uint32_t running)
@@ -179,8 +190,7 @@
 				pick(&bench, now_us + wait_us - 1, 1, NULL),
 				"a2");
 		now_us += wait_us;
-		while (strcmp(pick(&bench, now_us, 1, NULL), "a1") != 0)
-			continue;
+		CU_ASSERT(picks_within(&bench, now_us, "a1", 100));
 		wait_us = MIN(wait_us * 2, 5 * DWS_US_PER_S);
 	}
 	/* With nobody else, it is taken all the same. */
@@ -219,6 +229,11 @@
 	guint counts[3] = {0};
 
 	start(&bench, "a0 a1 a2");
+	/* Equal members share single calls. */
+	for (int n = 0; n < 300; n++)
+		counts[pick(&bench, 0, 1, NULL)[1] - '0']++;
+	CU_ASSERT(counts[0] > 60 && counts[1] > 60 && counts[2] > 60);
+	memset(counts, 0, sizeof(counts));
 	report(&bench, 0, "a0", 0, 9);
 	report(&bench, 0, "a1", 0, 1);
 	report(&bench, 0, "a2", 0, 1);
