Wait longer than the deadline for answers to non-idempotent work

Cause: a process that slept past the deadline woke to two events, the answer of its upstream and the end of its own wait, and took the end first, so an answer that had arrived was reported as lost (failure test once_faults, "executor sleeps past the deadline": expected complete, got unknown). Ruled out: the ledger, which does take late answers. Such work can't be cancelled and holds its slot anyway, so its answer is now waited for 30 s longer.

--- a/src/connection/http_client_io.c
+++ b/src/connection/http_client_io.c
@@ -11,6 +11,8 @@
 #include "version/config.h"
 
 #define CONNECT_TIMEOUT_MS 1000L
+/* Non-idempotent work runs on after its deadline; its answer is of use. */
+#define LATE_ANSWER_MS 30000
 /* Beyond the time that the platform was asked to wait. */
 #define PLATFORM_EXTRA_MS 2000
 #define PLATFORM_SLACK_BYTES (64 * 1024)
@@ -351,7 +353,9 @@
 	g_hash_table_insert(client->dispatches, &transfer->attempt_id,
 			    transfer);
 	set_headers(transfer, dispatch, remaining_ms);
-	set_common(transfer, &client->upstream, dispatch->path, remaining_ms);
+	set_common(transfer, &client->upstream, dispatch->path,
+		   dispatch->idempotent ? remaining_ms
+					: remaining_ms + LATE_ANSWER_MS);
 	set_request(transfer, dispatch);
 	if (!dispatch->idempotent) {
 		curl_easy_setopt(transfer->easy, CURLOPT_FRESH_CONNECT, 1L);
