Ask a draining daemon to end only once, and count retries

A second SIGTERM while a daemon closes ends it by the signal, so its exit status says nothing about the drain; the test sends one. That new work avoids a leaving VM is seen by the entry's count of retries, which a refusal raises.

--- a/test/failure/not_run.c
+++ b/test/failure/not_run.c
@@ -5,6 +5,7 @@
  */
 #include <CUnit/CUnit.h>
 #include <signal.h>
+#include <string.h>
 
 #include "support/site.h"
 
@@ -130,6 +131,15 @@
 	site_free(site);
 }
 
+static bool sees_leaving(const site_vm_t *vm)
+{
+	char *members = site_admin(vm, "members");
+	bool leaving = strstr(members, "\"leaving\"") != NULL;
+
+	g_free(members);
+	return leaving;
+}
+
 /* New work goes elsewhere at once, though the list still names the VM. */
 static void test_leaving_gets_no_new_work(void)
 {
@@ -140,7 +150,7 @@
 				      "--fixed", "probe_interval_ms: 100\n");
 	http_exchange_t answer;
 	site_task_t *slow;
-	int64_t deadline = 0;
+	int64_t deadline = 0, retries;
 
 	site_add(site, "staying", "b", "deposits", "--fixed",
 		 "probe_interval_ms: 100\n");
@@ -152,7 +162,9 @@
 	       site_waits(&deadline))
 		;
 	kill(leaving->daemon.pid, SIGTERM);
-	g_usleep(G_USEC_PER_SEC);
+	while (!sees_leaving(entry) && site_waits(&deadline))
+		;
+	retries = site_number(entry, "counters", "\nretries");
 	for (int i = 1; i <= 10; i++) {
 		char *target = g_strdup_printf("/deposits/list?order=%d", i);
 
@@ -164,7 +176,8 @@
 	site_join(slow, &answer);
 	CU_ASSERT(site_is_complete(&answer, "/deposits/slow?order=0"));
 	http_finish(&answer);
-	CU_ASSERT_EQUAL(site_stop(&leaving->daemon), 0);
+	CU_ASSERT_EQUAL(site_number(entry, "counters", "\nretries"), retries);
+	CU_ASSERT_EQUAL(site_wait_end(&leaving->daemon), 0);
 	site_free(site);
 }
 
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -95,13 +95,12 @@
 	kill(process->pid, SIGCONT);
 }
 
-/* Asks a process to end and waits for it. */
-int site_stop(site_process_t *process)
+/* Waits for the end of a process that was asked to end. */
+int site_wait_end(site_process_t *process)
 {
 	int status = -1;
 	int64_t deadline = 0;
 
-	kill(process->pid, SIGTERM);
 	while (waitpid(process->pid, &status, WNOHANG) == 0) {
 		if (!site_waits(&deadline))
 			return -1;
@@ -110,6 +109,13 @@
 	return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+/* Asks a process to end and waits for it. */
+int site_stop(site_process_t *process)
+{
+	kill(process->pid, SIGTERM);
+	return site_wait_end(process);
+}
+
 /* Sleeps a little; false once the time to wait is over. */
 bool site_waits(int64_t *deadline_us)
 {
--- a/test/support/site.h
+++ b/test/support/site.h
@@ -69,6 +69,7 @@
 void site_continue(site_process_t *process);
 /* Sends SIGTERM and waits for the end; the exit status, or -1. */
 int site_stop(site_process_t *process);
+int site_wait_end(site_process_t *process);
 /* Loses all packets between the daemons from now on, or no longer. */
 void site_set_partition(site_t *site, bool parted);
 /* Breaks the streams between a VM's daemon and its peers once. */
