Fold the configuration log

An entry is accepted if its base is the version reached and the merged document is valid; a reason depends on the document's values alone. Nothing is taken of a malformed log; a hole stops the fold.

--- a/src/version/config.c
+++ b/src/version/config.c
@@ -65,7 +65,26 @@
 	g_array_append_val(config->services, service);
 }
 
-/* Reads each entry of a map of named maps, in the order of the names. */
+/* Reads one entry of a map of named maps. */
+static void read_entry(dws_config_t *config, const dws_fields_t *list,
+		       const dws_pair_t *pair, dws_entry_reader_t read)
+{
+	char *path = g_strconcat(list->path, pair->key, ".", NULL);
+	dws_fields_t entry;
+
+	if (!dws_is_name(pair->key, DWS_NAME_SIZE))
+		dws_fields_fault(list, DWS_ERROR_VALUE, pair->key,
+				 "is no name; use 1 to 63 letters, digits, -, "
+				 "_ or .");
+	else if (dws_fields_init(&entry, list->faults, pair->value, path))
+		read(config, &entry, pair->key);
+	g_free(path);
+}
+
+/*
+ * Reads each entry of a map of named maps, in the order of the names. More
+ * than DWS_CONFIG_MAX_ENTRIES are a fault, and none is read.
+ */
 void dws_config_read_entries(dws_config_t *config, const dws_fields_t *fields,
 			     const char *key, dws_entry_reader_t read)
 {
@@ -75,22 +94,14 @@
 
 	if (map && dws_fields_init(&list, fields->faults, map, path)) {
 		GPtrArray *pairs = dws_value_sorted(map);
-
-		for (guint i = 0; i < pairs->len; i++) {
-			const dws_pair_t *pair = pairs->pdata[i];
-			char *inner = g_strconcat(path, pair->key, ".", NULL);
-			dws_fields_t entry;
-
-			if (!dws_is_name(pair->key, DWS_NAME_SIZE))
-				dws_fields_fault(&list, DWS_ERROR_VALUE,
-						 pair->key,
-						 "is no name; use 1 to 63 "
-						 "letters, digits, -, _ or .");
-			else if (dws_fields_init(&entry, fields->faults,
-						 pair->value, inner))
-				read(config, &entry, pair->key);
-			g_free(inner);
-		}
+		bool fits = pairs->len <= DWS_CONFIG_MAX_ENTRIES;
+
+		if (!fits)
+			dws_fields_fault(fields, DWS_ERROR_TOO_LARGE, key,
+					 "has over %d entries; remove some",
+					 DWS_CONFIG_MAX_ENTRIES);
+		for (guint i = 0; i < pairs->len && fits; i++)
+			read_entry(config, &list, pairs->pdata[i], read);
 		g_ptr_array_unref(pairs);
 	}
 	g_free(path);
@@ -126,6 +137,10 @@
 	dws_fields_require(fields, "kinds");
 	dws_config_read_entries(config, fields, "services", read_service);
 	dws_config_read_entries(config, fields, "kinds", dws_config_read_kind);
+	if (config->kinds->len == 0 && fields->faults->count == 0)
+		dws_fields_fault(fields, DWS_ERROR_VALUE, "kinds",
+				 "is empty; describe at least one kind of "
+				 "work");
 	dws_config_read_entries(config, fields, "slowdowns",
 				dws_config_read_slowdown);
 	read_limits(config, fields);
--- a/src/version/config.h
+++ b/src/version/config.h
@@ -9,6 +9,7 @@
 
 #define DWS_CONFIG_MAX_BYTES (1024 * 1024)
 #define DWS_NAME_SIZE 64
+#define DWS_CONFIG_MAX_ENTRIES 256 /* services, kinds or slowdowns */
 
 /* A kind of work. Higher priorities are refused last. */
 typedef struct dws_kind {
--- a/src/version/document.c
+++ b/src/version/document.c
@@ -128,6 +128,25 @@
 	       !strcmp(value->text, "NULL");
 }
 
+/* Counts the values of a tree, itself included. */
+size_t dws_value_count(const dws_value_t *value)
+{
+	size_t count = 1;
+
+	if (value->type == DWS_VALUE_SCALAR)
+		return count;
+	for (guint i = 0; i < value->items->len; i++) {
+		if (value->type == DWS_VALUE_LIST) {
+			count += dws_value_count(value->items->pdata[i]);
+			continue;
+		}
+		const dws_pair_t *pair = value->items->pdata[i];
+
+		count += dws_value_count(pair->value);
+	}
+	return count;
+}
+
 /* Looks up a key of a map. */
 dws_value_t *dws_value_get(const dws_value_t *map, const char *key)
 {
--- a/src/version/document.h
+++ b/src/version/document.h
@@ -54,6 +54,8 @@
 		   dws_value_t *value);
 void dws_value_append(dws_value_t *list, dws_value_t *value);
 
+/* The number of values in a tree, itself included. */
+size_t dws_value_count(const dws_value_t *value);
 bool dws_value_is_null(const dws_value_t *value);
 /* The value of a key, borrowed; NULL if it is absent or this is no map. */
 dws_value_t *dws_value_get(const dws_value_t *map, const char *key);
--- /dev/null
+++ b/src/version/log.c
@@ -0,0 +1,165 @@
+/*
+ * Reading and writing of logs.
+ */
+#include "version/log.h"
+#include "version/fields.h"
+
+#define MAX_SEQUENCE ((uint64_t)INT64_MAX)
+
+/* Reads a number that must be there. */
+static bool read_sequence(const dws_fields_t *fields, const char *key,
+			  uint64_t min, uint64_t *number)
+{
+	if (!dws_fields_require(fields, key))
+		return false;
+	if (dws_value_number(dws_fields_get(fields, key), MAX_SEQUENCE,
+			     number) &&
+	    *number >= min)
+		return true;
+	dws_fields_fault(fields, DWS_ERROR_VALUE, key,
+			 "is no number from %" G_GUINT64_FORMAT
+			 "; write one in digits",
+			 min);
+	return false;
+}
+
+/*
+ * Reads the snapshot. Nulls in its document are left out, as a merge of the
+ * patches would have done.
+ */
+static void read_snapshot(const dws_fields_t *root, dws_log_t *log)
+{
+	static const char *const keys[] = {"sequence", "version", "document"};
+	const dws_value_t *value = dws_fields_get(root, "snapshot");
+	dws_fields_t fields;
+
+	if (!value ||
+	    !dws_fields_init(&fields, root->faults, value, "snapshot."))
+		return;
+	log->has_snapshot = true;
+	dws_fields_known(&fields, keys, G_N_ELEMENTS(keys));
+	bool ok = read_sequence(&fields, "sequence", 1,
+				&log->snapshot_sequence) &&
+		  read_sequence(&fields, "version", 0, &log->snapshot_version);
+
+	if (ok && log->snapshot_version > log->snapshot_sequence)
+		dws_fields_fault(&fields, DWS_ERROR_CONFLICT, "version",
+				 "is above the sequence; write the sequence "
+				 "number of the last accepted entry");
+	if (ok && log->snapshot_version > 0 &&
+	    dws_fields_require(&fields, "document"))
+		log->snapshot_document = dws_document_merge(
+			NULL, dws_value_get(value, "document"));
+	log->end = log->snapshot_sequence;
+}
+
+/* Reads the sequence of one entry; the rest of it is judged by the fold. */
+static void read_entry(dws_faults_t *faults, dws_value_t *value, guint at,
+		       dws_log_t *log)
+{
+	dws_log_entry_t entry = {.value = value};
+	uint64_t previous = 0;
+	dws_fields_t fields;
+	char path[32];
+
+	g_snprintf(path, sizeof(path), "entries[%u].", at);
+	if (!dws_fields_init(&fields, faults, value, path) ||
+	    !read_sequence(&fields, "sequence", 1, &entry.sequence))
+		return;
+	if (log->entries->len > 0)
+		previous = g_array_index(log->entries, dws_log_entry_t,
+					 log->entries->len - 1)
+				   .sequence;
+	if (entry.sequence <= previous)
+		dws_fields_fault(&fields, DWS_ERROR_CONFLICT, "sequence",
+				 "is not above that of the entry before; "
+				 "publish entries in ascending order");
+	g_array_append_val(log->entries, entry);
+	log->end = MAX(log->end, entry.sequence);
+}
+
+/* Reads the list of entries. */
+static void read_entries(const dws_fields_t *root, dws_log_t *log)
+{
+	const dws_value_t *list = dws_fields_get(root, "entries");
+
+	if (!list)
+		return;
+	if (list->type != DWS_VALUE_LIST) {
+		dws_fields_fault(root, DWS_ERROR_VALUE, "entries",
+				 "is no list; write \"- {sequence: N, ...}\" "
+				 "lines");
+		return;
+	}
+	for (guint i = 0; i < list->items->len; i++)
+		read_entry(root->faults, list->items->pdata[i], i, log);
+}
+
+/* Reads a log; only its frame is checked, no document and no patch. */
+bool dws_log_init(dws_log_t *log, const char *text, size_t size_bytes,
+		  GError **error)
+{
+	static const char *const keys[] = {"snapshot", "entries"};
+	dws_faults_t faults;
+	dws_fields_t fields;
+
+	*log = (dws_log_t){.has_snapshot = false};
+	log->root = dws_document_parse(text, size_bytes, "log", error);
+	if (!log->root)
+		return false;
+	log->entries = g_array_new(FALSE, TRUE, sizeof(dws_log_entry_t));
+	dws_faults_init(&faults, "log");
+	if (dws_fields_init(&fields, &faults, log->root, "")) {
+		dws_fields_known(&fields, keys, G_N_ELEMENTS(keys));
+		read_snapshot(&fields, log);
+		read_entries(&fields, log);
+	}
+	if (dws_faults_finish(&faults, error))
+		return true;
+	dws_log_finish(log);
+	return false;
+}
+
+/* Frees what was read. */
+void dws_log_finish(dws_log_t *log)
+{
+	g_array_unref(log->entries);
+	dws_value_unref(log->snapshot_document);
+	dws_value_unref(log->root);
+}
+
+/* The canonical text of a value, whose reference is given up. */
+static char *take_text(dws_value_t *value)
+{
+	char *text = dws_document_canonical(value);
+
+	dws_value_unref(value);
+	return text;
+}
+
+/* A log of one snapshot. */
+char *dws_log_snapshot_text(uint64_t sequence, uint64_t version,
+			    dws_value_t *document)
+{
+	dws_value_t *snapshot = dws_value_new_map(0);
+	dws_value_t *log = dws_value_new_map(0);
+
+	dws_value_put(snapshot, "sequence", 0, dws_value_new_number(sequence));
+	dws_value_put(snapshot, "version", 0, dws_value_new_number(version));
+	if (document)
+		dws_value_put(snapshot, "document", 0, dws_value_ref(document));
+	dws_value_put(log, "snapshot", 0, snapshot);
+	return take_text(log);
+}
+
+/* A log of entries alone. */
+char *dws_log_entries_text(dws_value_t *const *entries, size_t count)
+{
+	dws_value_t *list = dws_value_new_list(0);
+	dws_value_t *log = dws_value_new_map(0);
+
+	for (size_t i = 0; i < count; i++)
+		dws_value_append(list, dws_value_ref(entries[i]));
+	dws_value_put(log, "entries", 0, list);
+	return take_text(log);
+}
--- /dev/null
+++ b/test/unit/test_fold.c
@@ -0,0 +1,257 @@
+/*
+ * Folding of the log: verdicts, bounds, and what is never taken.
+ */
+#include <CUnit/Basic.h>
+#include "version/fold.h"
+#include "version/patch.h"
+
+#define KIND "kinds: {k: {service: s, priority: 1, idempotent: true}}"
+#define FIRST                                                                  \
+	"entries:\n"                                                           \
+	"- {sequence: 1, base_version: 0, patch: {services: {s: {}}, " KIND    \
+	"}}\n"
+
+static dws_fold_result_t result;
+
+/* Offers a log; the message of a refusal, which the caller frees. */
+static char *offer(dws_fold_t *fold, const char *text)
+{
+	GError *error = NULL;
+	char *message = NULL;
+
+	if (!dws_fold_offer(fold, text, strlen(text), &result, &error)) {
+		message = g_strdup(error->message);
+		g_error_free(error);
+	}
+	return message;
+}
+
+/* A fold that has the first version. */
+static dws_fold_t *new_fold(void)
+{
+	dws_fold_t *fold = dws_fold_new();
+
+	CU_ASSERT_PTR_NULL(offer(fold, FIRST));
+	CU_ASSERT_TRUE(result.advanced && result.changed && !result.gap);
+	CU_ASSERT_EQUAL(dws_fold_version(fold), 1);
+	return fold;
+}
+
+static void test_racing_patches(void)
+{
+	dws_fold_t *fold = new_fold();
+
+	CU_ASSERT_PTR_NULL(offer(
+		fold, "entries:\n"
+		      "- {sequence: 2, base_version: 1, patch: {services: "
+		      "{a: {}}}}\n"
+		      "- {sequence: 3, base_version: 1, patch: {services: "
+		      "{b: {}}}}\n"
+		      "- {sequence: 4, base_version: 2, patch: {services: "
+		      "{s: ~}}}\n"
+		      "- {sequence: 5, base_version: x, patsh: 1}\n"));
+	const GArray *verdicts = dws_fold_verdicts(fold);
+	const dws_verdict_t *verdict = (const dws_verdict_t *)verdicts->data;
+
+	CU_ASSERT_EQUAL(verdicts->len, 5);
+	CU_ASSERT_TRUE(verdict[1].accepted && !verdict[1].reason);
+	CU_ASSERT_STRING_EQUAL(verdict[2].reason,
+			       "base_version: 1 is not the version reached, 2; "
+			       "make the patch again for that version");
+	CU_ASSERT_STRING_EQUAL(verdict[3].reason,
+			       "kinds.k.service: \"s\" is not among the "
+			       "services; add it there, or write one that is");
+	CU_ASSERT_PTR_NOT_NULL(strstr(
+		verdict[4].reason, "patsh: unknown key; did you mean "
+				   "\"patch\"? | base_version: is no number"));
+	CU_ASSERT_EQUAL(dws_fold_version(fold), 2);
+	CU_ASSERT_EQUAL(dws_fold_sequence(fold), 5);
+	dws_fold_free(fold);
+}
+
+static void test_what_is_not_taken(void)
+{
+	static const char *const refused[] = {
+		"entries: [{sequence: 3}, {sequence: 2}]",
+		"entries: [{sequence: 2, base_version: 1, patch: {}}, {}]",
+		"entries: [{sequence: 0}]",
+		"entries: [{sequence: 9223372036854775808}]",
+		"entries: {}",
+		"entry: []",
+		"snapshot: {sequence: 9, version: 10, document: {}}",
+		"snapshot: {sequence: 9, version: 9, document: {}}",
+		"snapshot: {sequence: 9, version: 9}",
+		"snapshot: {version: 0}",
+	};
+	static const char *const conflicts[] = {
+		"entries: [{sequence: 1, base_version: 0, patch: {}}, "
+		"{sequence: 2, base_version: 1, patch: {" KIND "}}]",
+		"snapshot: {sequence: 1, version: 1, document: {" KIND "}}",
+		"snapshot: {sequence: 1, version: 0}",
+		/* a later number must not bring back an older version */
+		"snapshot: {sequence: 9, version: 0}",
+		"snapshot: {sequence: 9, version: 1, document: {services: "
+		"{s: {slots: 3}}, " KIND "}}",
+	};
+	dws_fold_t *fold = new_fold();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(refused); i++) {
+		char *message = offer(fold, refused[i]);
+
+		CU_ASSERT_PTR_NOT_NULL(message);
+		g_free(message);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(conflicts); i++) {
+		CU_ASSERT_PTR_NULL(offer(fold, conflicts[i]));
+		CU_ASSERT_TRUE(result.conflict && !result.advanced);
+	}
+	CU_ASSERT_EQUAL(dws_fold_sequence(fold), 1);
+	CU_ASSERT_PTR_NULL(offer(fold, "entries: [{sequence: 3}]"));
+	CU_ASSERT_TRUE(result.gap && !result.advanced);
+	CU_ASSERT_PTR_NULL(
+		offer(fold, "snapshot: {sequence: 9, version: 5, document: "
+			    "{slowdowns: ~, services: {s: {}}, " KIND "}}"));
+	CU_ASSERT_TRUE(result.changed && !result.conflict);
+	CU_ASSERT_PTR_NULL(offer(fold, FIRST));
+	CU_ASSERT_TRUE(result.older && !result.advanced);
+	CU_ASSERT_EQUAL(dws_fold_sequence(fold), 9);
+	dws_fold_free(fold);
+}
+
+/* Adds entries that each put a text of a size into the document. */
+static void add_entries(dws_fold_t *fold, int count, size_t size_bytes)
+{
+	char *filler = g_strnfill(size_bytes, 'x');
+
+	for (int i = 0; i < count; i++) {
+		uint64_t sequence = dws_fold_sequence(fold) + 1;
+		char *text = g_strdup_printf(
+			"entries: [{sequence: %u, base_version: %u, patch: "
+			"{slowdowns: {x: {customers: [%s]}}}}]",
+			(unsigned int)sequence, (unsigned int)i + 1, filler);
+
+		CU_ASSERT_PTR_NULL(offer(fold, text));
+		g_free(text);
+	}
+	g_free(filler);
+}
+
+/* Checks whether the log after a sequence holds entries or a snapshot. */
+static void assert_log(const dws_fold_t *fold, uint64_t after, bool entries)
+{
+	size_t size_bytes;
+	char *text = dws_fold_log_after(fold, after, &size_bytes);
+	dws_fold_t *other = dws_fold_new();
+
+	CU_ASSERT_TRUE(text && size_bytes == strlen(text));
+	CU_ASSERT_EQUAL(g_str_has_prefix(text, "entries:"), entries);
+	if (!entries || after == 0) {
+		CU_ASSERT_PTR_NULL(offer(other, text));
+		CU_ASSERT_EQUAL(memcmp(dws_fold_digest(other),
+				       dws_fold_digest(fold), DWS_DIGEST_SIZE),
+				0);
+	}
+	dws_fold_free(other);
+	g_free(text);
+}
+
+static void test_bounds(void)
+{
+	dws_fold_t *fold = new_fold();
+	size_t size_bytes;
+
+	add_entries(fold, 1023, 3);
+	assert_log(fold, 0, true);
+	CU_ASSERT_EQUAL(dws_fold_verdicts(fold)->len, DWS_MAX_VERDICTS);
+	add_entries(fold, 1, 3);
+	assert_log(fold, 0, false);
+	assert_log(fold, 1, true);
+	add_entries(fold, 2, 140000);
+	assert_log(fold, 1024, false);
+	assert_log(fold, 1026, true);
+	CU_ASSERT_PTR_NULL(dws_fold_log_after(fold, 1027, &size_bytes));
+	dws_fold_free(fold);
+}
+
+/* A third slowdown of 400 kB makes the document too large for a snapshot. */
+static void test_too_large_results(void)
+{
+	dws_fold_t *fold = new_fold();
+
+	for (int i = 2; i <= 4; i++) {
+		GString *text = g_string_new(NULL);
+
+		g_string_printf(text,
+				"entries: [{sequence: %d, base_version: %d, "
+				"patch: {slowdowns: {x%d: {start: "
+				"2027-03-01T02:00:00Z, end: "
+				"2027-03-01T03:00:00Z, added_delay_ms: 5, "
+				"kinds: [k], customers: [",
+				i, i - 1, i);
+		for (int customer = 0; customer < 4000; customer++)
+			g_string_append_printf(text, "%0100d,", customer);
+		g_string_append(text, "]}}}}]");
+		CU_ASSERT_PTR_NULL(offer(fold, text->str));
+		g_string_free(text, TRUE);
+	}
+	const GArray *verdicts = dws_fold_verdicts(fold);
+	const dws_verdict_t *verdict = (const dws_verdict_t *)verdicts->data;
+
+	CU_ASSERT_EQUAL(dws_fold_version(fold), 3);
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(verdict[3].reason, "document: its snapshot of "));
+	assert_log(fold, 0, false);
+	dws_fold_free(fold);
+}
+
+/* What the tool prints for an operator is an entry that all can fold. */
+static void test_printed_entries_fold(void)
+{
+	static const char *const patches[] = {
+		"{services: {a-b.c: {slots: 7}}}",
+		"{services: {a-b.c: ~}, limits: {slowdown_freshness_ms: 100}}",
+		"{slowdowns: {x: {start: 2027-03-01T02:00:00Z, end: "
+		"2027-03-01T03:00:00Z, added_delay_ms: 5, kinds: [k], "
+		"customers: [\"Co\xc3\xb6p: #1\", \"null\", ~x]}}}",
+		"{slowdowns: {x: {called: {\"Co\xc3\xb6p: #1\": "
+		"2027-03-01T02:00:00Z/2027-03-01T03:00:00Z/k}}}}",
+		"{}",
+	};
+	dws_fold_t *fold = new_fold();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(patches); i++) {
+		dws_value_t *patch = dws_document_parse(
+			patches[i], strlen(patches[i]), "p", NULL);
+		char *entry = dws_patch_entry(dws_fold_version(fold), patch);
+		char **lines = g_strsplit(entry, "\n", -1);
+		char *indented = g_strjoinv("\n  ", lines);
+		char *text = g_strdup_printf("entries:\n- sequence: %u\n  %s",
+					     (unsigned int)i + 2, indented);
+
+		CU_ASSERT_PTR_NULL(offer(fold, text));
+		CU_ASSERT_TRUE(result.changed);
+		g_free(text);
+		g_free(indented);
+		g_strfreev(lines);
+		g_free(entry);
+		dws_value_unref(patch);
+	}
+	dws_fold_free(fold);
+}
+
+int main(void)
+{
+	CU_initialize_registry();
+	CU_pSuite suite = CU_add_suite("fold", NULL, NULL);
+
+	CU_add_test(suite, "racing", test_racing_patches);
+	CU_add_test(suite, "refused", test_what_is_not_taken);
+	CU_add_test(suite, "bounds", test_bounds);
+	CU_add_test(suite, "too large", test_too_large_results);
+	CU_add_test(suite, "printed", test_printed_entries_fold);
+	CU_basic_run_tests();
+	unsigned int failures = CU_get_number_of_failures();
+
+	CU_cleanup_registry();
+	return failures ? 1 : 0;
+}
