Answer those who connect while the drain ends

A daemon whose drain had ended closed its listening sockets with completed connections still in their queue, and exited before requests on open connections had been read: both were reset without an answer. It now accepts what is queued and goes on refusing for 200 ms.

A smaller backlog was tried and made it no better. What is left connects between the last look at the queue and the close.

--- a/src/connection/http_server_io.c
+++ b/src/connection/http_server_io.c
@@ -546,11 +546,32 @@
 	server->is_closing = true;
 }
 
+/*
+ * Accepts the connections that the system has completed: it would reset them
+ * with the socket that listens.
+ */
+static void accept_completed(dws_listener_t *listener)
+{
+	const union MHD_DaemonInfo *info = MHD_get_daemon_info(
+		listener->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+	struct pollfd waiting = {.fd = info->listen_fd, .events = POLLIN};
+
+	for (int round = 0; round < STOP_ROUNDS; round++) {
+		if (poll(&waiting, 1, 0) != 1)
+			break;
+		MHD_run(listener->daemon);
+	}
+	wake_listener(listener);
+}
+
 /* Closes the sockets that listen for callers and the upstream. */
 void dws_http_server_quiesce(dws_http_server_t *server)
 {
 	for (int i = 0; i < DWS_LISTENER_ADMIN; i++) {
-		MHD_socket fd = MHD_quiesce_daemon(server->listeners[i].daemon);
+		dws_listener_t *listener = &server->listeners[i];
+
+		accept_completed(listener);
+		MHD_socket fd = MHD_quiesce_daemon(listener->daemon);
 
 		if (fd != MHD_INVALID_SOCKET)
 			close(fd);
--- a/src/process/loop_io.c
+++ b/src/process/loop_io.c
@@ -22,6 +22,8 @@
 /* Longer than planned by this: the process was paused. */
 #define GAP_US (500 * DWS_US_PER_MS)
 #define LOG_DELAY_S 0.05
+/* For requests on connections that are open when the drain ends. */
+#define LAST_REQUESTS_US (200 * DWS_US_PER_MS)
 /* For slow readers of the last answers. */
 #define LAST_ANSWERS_MAX_US (5 * DWS_US_PER_S)
 #define NS_PER_US 1000
@@ -76,8 +78,11 @@
 		dws_http_server_drain(&loop->server);
 		dws_http_server_quiesce(&loop->server);
 	}
-	bool is_late = now_us - loop->drained_us > LAST_ANSWERS_MAX_US;
+	int64_t since_us = now_us - loop->drained_us;
+	bool is_late = since_us > LAST_ANSWERS_MAX_US;
 
+	if (since_us < LAST_REQUESTS_US)
+		return;
 	if (!dws_http_server_is_idle(&loop->server) && !is_late)
 		return;
 	log_pair(loop, DWS_LOG_INFO, "drain_ended", "answers_cut",
