Announce a threshold above the least urgent work of a full queue

Cause: a full queue announced the priority of the least urgent work in it. Browsing has priority 0, so a queue full of browsing announced 0, as an empty one does, and callers' daemons went on sending browsing to be refused. What: the threshold is the lowest priority of which any push is accepted, which is one above the least urgent that waits. Requests that did not run to their end (a time of 0 or less) no longer enter the averages: they would make the upstream look fast.

--- a/src/request/admission.c
+++ b/src/request/admission.c
@@ -160,8 +160,9 @@
 	sample.own_time_us = own_time_us;
 	sample.running = state->running;
 	sample.overloaded = overloaded;
-	dws_limit_sample(&admission->limit, now_us, &sample);
-	if (!overloaded)
+	if (overloaded || own_time_us > 0)
+		dws_limit_sample(&admission->limit, now_us, &sample);
+	if (!overloaded && own_time_us > 0)
 		update_estimate(admission, state->kind,
 				(double)(now_us - state->started_us));
 	g_hash_table_remove(admission->running, &id);
--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -43,7 +43,10 @@
 /* Takes a queued request that can't end in time; until it returns false. */
 bool dws_admission_expire(dws_admission_t *admission, int64_t now_us,
 			  dws_queue_item_t *item);
-/* Ends a running request; own_time_us excludes time in nested calls. */
+/*
+ * Ends a running request; own_time_us excludes time in nested calls. A time
+ * of 0 or less means that it did not run to its end and tells nothing.
+ */
 void dws_admission_end(dws_admission_t *admission, int64_t now_us, uint64_t id,
 		       int64_t own_time_us, bool overloaded);
 /* Removes a queued request; false if it is not queued. */
--- a/src/request/queue.c
+++ b/src/request/queue.c
@@ -398,9 +398,10 @@
 }
 
 /*
- * The lowest priority of which a push may be accepted now: 0 while there is
- * room, else the least urgent that waits, as a kind of that priority that
- * holds less than its share still gets in.
+ * The lowest priority of which any push is accepted now: 0 while there is
+ * room, else the one above the least urgent that waits. Work of that least
+ * urgent priority itself depends on the shares of its kinds. At most
+ * UINT8_MAX.
  */
 uint8_t dws_queue_threshold(const dws_queue_t *queue)
 {
@@ -408,5 +409,5 @@
 
 	if (dws_queue_length(queue) < queue->capacity || lowest < 0)
 		return 0;
-	return (uint8_t)lowest;
+	return (uint8_t)MIN(lowest + 1, UINT8_MAX);
 }
--- a/src/request/queue.h
+++ b/src/request/queue.h
@@ -45,7 +45,7 @@
 uint32_t dws_queue_length(const dws_queue_t *queue);
 /* Earliest of the latest starts, or DWS_NEVER_US. */
 int64_t dws_queue_next_deadline_us(const dws_queue_t *queue);
-/* The lowest priority of which a push may be accepted now. */
+/* The lowest priority of which any push is accepted now. */
 uint8_t dws_queue_threshold(const dws_queue_t *queue);
 
 #endif
