--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -31,9 +31,9 @@
 	uint64_t epoch; /* random per process; 0 while unknown */
 	uint64_t incarnation; /* orders processes and claims of one VM id */
 	dws_member_state_t state;
+	bool listed; /* in the platform's latest list */
 	int64_t state_since_us;
 	int64_t heard_us; /* last direct word; DWS_NEVER_US negated if none */
-	bool listed; /* in the platform's latest list */
 } dws_member_t;
 
 /* What a process claims about the platform's documents. */
--- a/test/fuzz/fuzz_routing.c
+++ b/test/fuzz/fuzz_routing.c
@@ -8,8 +8,7 @@
  *
  * Fuzz runs: 10000
  */
-#include <string.h>
-#include "connection/wire.pb-c.h"
+#include "../support/membership_fleet.c"
 #include "process/routing.h"
 
 #define MEMBERS 8
@@ -42,26 +41,6 @@
 	return *world->data++ % below;
 }
 
-static void ignore_send(void *context, const dws_address_t *to,
-			const uint8_t *data, size_t size_bytes)
-{
-}
-
-static void ignore_change(void *context, const dws_member_t *member)
-{
-}
-
-static void ignore_claim(void *context, const dws_address_t *frame,
-			 const dws_claim_t *claim)
-{
-}
-
-static const dws_membership_ops_t ops = {
-	.send = ignore_send,
-	.changed = ignore_change,
-	.claimed = ignore_claim,
-};
-
 static char *name_of(guint index)
 {
 	static char *const names[MEMBERS] = {"m0", "m1", "m2", "m3",
@@ -73,30 +52,23 @@
 /* A member says its state, as a process of a new epoch or of the old one. */
 static void say(world_t *world, guint index, guint state, bool restart)
 {
-	Dws__Probe probe = DWS__PROBE__INIT;
-	Dws__MemberUpdate sender = DWS__MEMBER_UPDATE__INIT;
-	uint8_t bytes[500];
 	model_t *model = &world->models[index];
+	dws_member_t member = {.service = "s",
+			       .frame.ip = "10.0.0.1",
+			       .state = (dws_member_state_t)state};
 
 	model->incarnation += restart ? 256 : 1;
-	model->state = (dws_member_state_t)state;
-	sender.vm_id = name_of(index);
-	sender.ip = "10.0.0.1";
-	sender.frame_port = 1;
-	sender.datagram_port = 1;
-	sender.zone = index < 3 ? "a" : "b";
-	sender.region = index < 5 ? "r" : "q";
-	sender.service = "s";
-	sender.epoch = model->incarnation / 256 + 1;
-	sender.incarnation = model->incarnation;
-	sender.state = state;
-	probe.sender = &sender;
+	model->state = member.state;
+	member.epoch = model->incarnation / 256 + 1;
+	member.incarnation = model->incarnation;
+	g_strlcpy(member.vm_id, name_of(index), DWS_ID_SIZE);
+	g_strlcpy(member.zone, index < 3 ? "zone-0" : "b", DWS_ID_SIZE);
+	g_strlcpy(member.region, index < 5 ? "region-0" : "q", DWS_ID_SIZE);
 	if (restart) {
 		model->clean = true;
 		model->busy_until_us = 0;
 	}
-	g_assert(dws_membership_receive(world->membership, world->now_us, bytes,
-					dws__probe__pack(&probe, bytes), NULL));
+	g_assert(fleet_forge(world->membership, &member, NULL));
 }
 
 static bool is_usable(const model_t *model)
@@ -194,21 +166,15 @@
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
-	dws_settings_t settings = {
-		.vm_id = "self",
-		.zone = "a",
-		.region = "r",
-		.probe_interval_ms = 1000,
-	};
 	world_t world = {.data = data, .size = size};
-
+	fleet_t *fleet = fleet_new(1, 1);
 	guint32 hash = 5381;
 
 	for (size_t i = 0; i < size; i++)
 		hash = hash * 33 + data[i];
 	world.random = g_rand_new_with_seed(hash);
-	world.membership =
-		dws_membership_new(&settings, &ops, NULL, 1, 1, 0, 1);
+	fleet_start(fleet, 0, 1);
+	world.membership = fleet_node(fleet, 0)->membership;
 	world.routing = dws_routing_new(world.membership, 1);
 	for (guint i = 0; i < MEMBERS; i++)
 		say(&world, i, DWS_MEMBER_ALIVE, true);
@@ -216,7 +182,7 @@
 		act(&world);
 	pick(&world);
 	dws_routing_free(world.routing);
-	dws_membership_free(world.membership);
+	fleet_free(fleet);
 	g_rand_free(world.random);
 	return 0;
 }
--- a/test/support/membership_fleet.c
+++ b/test/support/membership_fleet.c
@@ -1,14 +1,13 @@
 /*
  * Many memberships on a clock of their own; see the header.
  */
-#include "support/membership_fleet.h"
+#include "membership_fleet.h"
 
-#include <inttypes.h>
-#include <stdio.h>
 #include <string.h>
+#include "connection/wire.pb-c.h"
 
 #define FIRST_PORT 1000
-#define INTERVAL_MS 1000
+#define FIRST_EPOCH 1000
 
 typedef struct datagram {
 	guint from;
@@ -17,11 +16,6 @@
 	uint8_t data[1500];
 } datagram_t;
 
-static guint index_of(const fleet_node_t *node)
-{
-	return node->settings.datagram_listen.port - FIRST_PORT;
-}
-
 static void send_datagram(void *context, const dws_address_t *to,
 			  const uint8_t *data, size_t size_bytes)
 {
@@ -29,23 +23,44 @@
 	fleet_t *fleet = node->fleet;
 	guint index = (guint)to->port - FIRST_PORT;
 
-	node->datagrams_sent++;
-	node->bytes_sent += size_bytes;
+	node->datagrams++;
+	node->bytes += size_bytes;
 	if (index >= fleet->nodes->len ||
-	    g_rand_int_range(fleet->random, 0, 100) <
-		    (gint32)fleet->drop_percent)
+	    g_rand_int_range(fleet->random, 0, 100) < fleet->drop_percent)
 		return;
 	datagram_t *datagram = g_new(datagram_t, 1);
 
-	datagram->from = index_of(node);
+	datagram->from = node->settings.datagram_listen.port - FIRST_PORT;
 	datagram->to = index;
 	datagram->size_bytes = size_bytes;
 	memcpy(datagram->data, data, size_bytes);
 	g_queue_push_tail(&fleet->datagrams, datagram);
 }
 
+/*
+ * Checks that reports of a member go up in incarnation and epoch, and that
+ * nobody comes back from the dead without a higher one.
+ */
 static void member_changed(void *context, const dws_member_t *member)
 {
+	fleet_node_t *node = context;
+	dws_member_t *seen = g_hash_table_lookup(node->seen, member->vm_id);
+
+	if (!seen) {
+		seen = g_new0(dws_member_t, 1);
+		g_hash_table_insert(node->seen, g_strdup(member->vm_id), seen);
+	}
+	bool higher = member->incarnation > seen->incarnation ||
+		      (member->incarnation == seen->incarnation &&
+		       member->epoch > seen->epoch);
+	bool same = member->incarnation >= seen->incarnation &&
+		    member->epoch == seen->epoch &&
+		    (seen->state != DWS_MEMBER_DEAD || seen->epoch == 0 ||
+		     member->state == DWS_MEMBER_DEAD);
+
+	if (!higher && !same)
+		node->fleet->order_faults++;
+	*seen = *member;
 }
 
 /* Passes news of a sequence on, as a process does once it has it. */
@@ -73,23 +88,27 @@
 
 	fleet->nodes = g_ptr_array_new();
 	fleet->random = g_rand_new_with_seed(1);
+	fleet->step_us = 5 * DWS_US_PER_MS;
 	for (guint i = 0; i < count; i++) {
 		fleet_node_t *node = g_new0(fleet_node_t, 1);
 		dws_settings_t *settings = &node->settings;
 
 		node->fleet = fleet;
-		snprintf(settings->vm_id, DWS_ID_SIZE, "vm-%u", i);
-		snprintf(settings->zone, DWS_ID_SIZE, "zone-%u", i % zones);
-		snprintf(settings->region, DWS_ID_SIZE, "region-%u",
-			 i % zones % 3);
-		snprintf(settings->service, DWS_ID_SIZE, "service-%u", i % 100);
+		g_snprintf(settings->vm_id, DWS_ID_SIZE, "vm-%u", i);
+		g_snprintf(settings->zone, DWS_ID_SIZE, "zone-%u", i % zones);
+		g_snprintf(settings->region, DWS_ID_SIZE, "region-%u",
+			   i % zones % 3);
+		g_snprintf(settings->service, DWS_ID_SIZE, "service-%u",
+			   i % 100);
 		g_strlcpy(settings->frame_listen.ip, "10.0.0.1", 46);
 		settings->frame_listen.port = (uint16_t)(FIRST_PORT + i);
 		settings->datagram_listen = settings->frame_listen;
-		settings->probe_interval_ms = INTERVAL_MS;
-		settings->seed_count = 1;
+		settings->probe_interval_ms = 1000;
+		settings->seed_count = 2;
+		settings->seeds[0].datagram = settings->frame_listen;
 		settings->seeds[0].datagram.port = FIRST_PORT;
-		g_strlcpy(settings->seeds[0].datagram.ip, "10.0.0.1", 46);
+		settings->seeds[1].datagram = settings->frame_listen;
+		settings->seeds[1].datagram.port = FIRST_PORT + 2;
 		g_ptr_array_add(fleet->nodes, node);
 	}
 	return fleet;
@@ -107,24 +126,27 @@
 	g_free(fleet);
 }
 
-fleet_node_t *fleet_node(fleet_t *fleet, guint index)
+fleet_node_t *fleet_node(const fleet_t *fleet, guint index)
 {
 	return fleet->nodes->pdata[index];
 }
 
-void fleet_start(fleet_t *fleet, guint index, uint64_t epoch, int64_t wall_ms)
+void fleet_start(fleet_t *fleet, guint index, int64_t wall_ms)
 {
 	fleet_node_t *node = fleet_node(fleet, index);
+	static uint64_t last_epoch = FIRST_EPOCH;
 
 	fleet_stop(fleet, index);
+	node->paused = false;
+	node->seen =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	node->membership =
-		dws_membership_new(&node->settings, &fleet_ops, node, epoch,
-				   index + 1, fleet->now_us, wall_ms);
+		dws_membership_new(&node->settings, &fleet_ops, node,
+				   last_epoch++, index, fleet->now_us, wall_ms);
 	/* Processes do not start in step. */
 	node->next_tick_us =
 		fleet->now_us +
-		(int64_t)g_rand_int_range(fleet->random, 0, INTERVAL_MS) *
-			DWS_US_PER_MS;
+		g_rand_int_range(fleet->random, 0, 1000) * DWS_US_PER_MS;
 }
 
 void fleet_stop(fleet_t *fleet, guint index)
@@ -133,68 +155,67 @@
 
 	dws_membership_free(node->membership);
 	node->membership = NULL;
+	g_clear_pointer(&node->seen, g_hash_table_destroy);
 }
 
-char *fleet_list_text(const fleet_t *fleet, uint64_t revision, guint leaving)
+void fleet_offer_list(fleet_t *fleet, uint64_t revision)
 {
 	GString *text = g_string_new(NULL);
 
-	g_string_append_printf(text, "revision: %" PRIu64 "\nvms:\n", revision);
+	g_string_printf(text, "revision: %lu\nvms:\n", (gulong)revision);
 	for (guint i = 0; i < fleet->nodes->len; i++) {
-		const fleet_node_t *node = fleet->nodes->pdata[i];
-		const dws_settings_t *settings = &node->settings;
+		const dws_settings_t *vm = &fleet_node(fleet, i)->settings;
 
+		if (strstr(text->str, vm->vm_id) && i + 1 == fleet->nodes->len)
+			break; /* a second process of a VM */
 		g_string_append_printf(
 			text,
-			"  - {id: %s, ip: %s, frame_port: %u, "
+			"- {id: %s, ip: 10.0.0.1, frame_port: %u, "
 			"datagram_port: %u, zone: %s, region: %s, "
-			"service: %s, state: %s}\n",
-			settings->vm_id, settings->frame_listen.ip,
-			settings->frame_listen.port,
-			settings->datagram_listen.port, settings->zone,
-			settings->region, settings->service,
-			i == leaving ? "leaving" : "live");
+			"service: %s, state: live}\n",
+			vm->vm_id, vm->frame_listen.port,
+			vm->datagram_listen.port, vm->zone, vm->region,
+			vm->service);
 	}
-	return g_string_free(text, FALSE);
-}
-
-void fleet_offer_list(fleet_t *fleet, uint64_t revision)
-{
-	char *text = fleet_list_text(fleet, revision, G_MAXUINT);
-
 	for (guint i = 0; i < fleet->nodes->len; i++) {
-		fleet_node_t *node = fleet_node(fleet, i);
+		dws_membership_t *to = fleet_node(fleet, i)->membership;
 
-		if (node->membership)
-			dws_membership_offer_list(node->membership,
-						  fleet->now_us, text,
-						  strlen(text), NULL);
+		if (to)
+			g_assert(dws_membership_offer_list(
+				to, fleet->now_us, text->str, text->len, NULL));
 	}
-	g_free(text);
+	g_string_free(text, TRUE);
 }
 
 static void deliver(fleet_t *fleet, const datagram_t *datagram)
 {
 	fleet_node_t *to = fleet_node(fleet, datagram->to);
-	const fleet_node_t *from = fleet_node(fleet, datagram->from);
 
-	if (!to->membership || to->paused || to->side != from->side)
+	if (!to->membership || to->paused ||
+	    to->side != fleet_node(fleet, datagram->from)->side)
 		return;
-	to->bytes_received += datagram->size_bytes;
-	dws_membership_receive(to->membership, fleet->now_us, datagram->data,
-			       datagram->size_bytes, NULL);
+	to->bytes += datagram->size_bytes;
+	g_assert(dws_membership_receive(to->membership, fleet->now_us,
+					datagram->data, datagram->size_bytes,
+					NULL));
 }
 
 static void step(fleet_t *fleet)
 {
 	guint count = fleet->datagrams.length;
 
-	fleet->now_us += FLEET_STEP_US;
+	fleet->now_us += fleet->step_us;
 	while (count-- > 0) {
 		datagram_t *datagram = g_queue_pop_head(&fleet->datagrams);
-
-		deliver(fleet, datagram);
-		g_free(datagram);
+		gint32 roll = g_rand_int_range(fleet->random, 0, 100);
+		bool keep = roll < fleet->repeat_percent + fleet->delay_percent;
+
+		if (!keep || roll < fleet->repeat_percent)
+			deliver(fleet, datagram);
+		if (keep)
+			g_queue_push_tail(&fleet->datagrams, datagram);
+		else
+			g_free(datagram);
 	}
 	for (guint i = 0; i < fleet->nodes->len; i++) {
 		fleet_node_t *node = fleet_node(fleet, i);
@@ -214,7 +235,7 @@
 		step(fleet);
 }
 
-guint fleet_count(fleet_t *fleet, guint index, dws_member_state_t state)
+guint fleet_count(const fleet_t *fleet, guint index, dws_member_state_t state)
 {
 	const char *vm_id = fleet_node(fleet, index)->settings.vm_id;
 	guint count = 0;
@@ -245,3 +266,25 @@
 	}
 	return true;
 }
+
+bool fleet_forge(dws_membership_t *membership, const dws_member_t *sender,
+		 GError **error)
+{
+	Dws__Probe probe = DWS__PROBE__INIT;
+	Dws__MemberUpdate update = DWS__MEMBER_UPDATE__INIT;
+	uint8_t bytes[1000];
+
+	update.vm_id = (char *)sender->vm_id;
+	update.ip = (char *)sender->frame.ip;
+	update.frame_port = 1;
+	update.datagram_port = 1;
+	update.zone = (char *)sender->zone;
+	update.region = (char *)sender->region;
+	update.service = (char *)sender->service;
+	update.epoch = sender->epoch;
+	update.incarnation = sender->incarnation;
+	update.state = sender->state;
+	probe.sender = &update;
+	return dws_membership_receive(membership, 0, bytes,
+				      dws__probe__pack(&probe, bytes), error);
+}
--- a/test/unit/test_routing.c
+++ b/test/unit/test_routing.c
@@ -1,71 +1,55 @@
 /*
- * Choice of a member for a call, over a membership that a list and forged
- * datagrams fill.
+ * Choice of a member for a call, over a membership that pings fill.
  */
 #include <CUnit/Basic.h>
 #include <string.h>
-#include "connection/wire.pb-c.h"
 #include "process/routing.h"
+#include "support/membership_fleet.h"
 
 #define MS DWS_US_PER_MS
 
 typedef struct bench {
-	dws_settings_t settings;
+	fleet_t *fleet; /* of this process alone: vm-0 in zone-0 */
 	dws_membership_t *membership;
 	dws_routing_t *routing;
 } bench_t;
 
-static void ignore_send(void *context, const dws_address_t *to,
-			const uint8_t *data, size_t size_bytes)
+/* Takes a ping of a member, named by its zone and a number. */
+static void say(bench_t *bench, const char *vm_id, dws_member_state_t state)
 {
-}
-
-static void ignore_change(void *context, const dws_member_t *member)
-{
-}
+	dws_member_t member = {.region = "region-0",
+			       .service = "s",
+			       .frame.ip = "10.0.0.1",
+			       .epoch = 5,
+			       .incarnation = 6,
+			       .state = state};
 
-static void ignore_claim(void *context, const dws_address_t *frame,
-			 const dws_claim_t *claim)
-{
+	g_strlcpy(member.vm_id, vm_id, DWS_ID_SIZE);
+	g_strlcpy(member.zone, vm_id[0] == 'a' ? "zone-0" : "zone-1",
+		  DWS_ID_SIZE);
+	if (vm_id[0] == 'z')
+		g_strlcpy(member.region, "region-1", DWS_ID_SIZE);
+	CU_ASSERT(fleet_forge(bench->membership, &member, NULL));
 }
 
-static const dws_membership_ops_t no_ops = {
-	.send = ignore_send,
-	.changed = ignore_change,
-	.claimed = ignore_claim,
-};
-
-/* A process in zone a of region r; members are named by zone and number. */
+/* A process that knows the members of a list, all alive. */
 static void start(bench_t *bench, const char *list)
 {
-	memset(bench, 0, sizeof(*bench));
-	g_strlcpy(bench->settings.vm_id, "self", DWS_ID_SIZE);
-	g_strlcpy(bench->settings.zone, "a", DWS_ID_SIZE);
-	g_strlcpy(bench->settings.region, "r", DWS_ID_SIZE);
-	bench->settings.probe_interval_ms = 1000;
-	bench->membership =
-		dws_membership_new(&bench->settings, &no_ops, NULL, 1, 1, 0, 1);
-	bench->routing = dws_routing_new(bench->membership, 1);
-	GString *text = g_string_new("revision: 1\nvms:\n");
 	gchar **names = g_strsplit(list, " ", -1);
 
+	bench->fleet = fleet_new(1, 1);
+	fleet_start(bench->fleet, 0, 1);
+	bench->membership = fleet_node(bench->fleet, 0)->membership;
+	bench->routing = dws_routing_new(bench->membership, 1);
 	for (guint i = 0; names[i]; i++)
-		g_string_append_printf(
-			text,
-			"- {id: %s, ip: 10.0.0.1, frame_port: 1, "
-			"datagram_port: 1, zone: %c, region: %c, "
-			"service: s, state: live}\n",
-			names[i], names[i][0], names[i][0] == 'z' ? 'q' : 'r');
-	CU_ASSERT_FATAL(dws_membership_offer_list(bench->membership, 0,
-						  text->str, text->len, NULL));
+		say(bench, names[i], DWS_MEMBER_ALIVE);
 	g_strfreev(names);
-	g_string_free(text, TRUE);
 }
 
 static void finish(bench_t *bench)
 {
 	dws_routing_free(bench->routing);
-	dws_membership_free(bench->membership);
+	fleet_free(bench->fleet);
 }
 
 /* The VM id that a pick gives; "busy" and "none" for the other results. */
@@ -112,29 +96,6 @@
 	dws_routing_ended(bench->routing, now_us, vm_id, NULL);
 }
 
-/* Takes a ping in which a member gives itself a state. */
-static void say(bench_t *bench, const char *vm_id, uint32_t state)
-{
-	Dws__Probe probe = DWS__PROBE__INIT;
-	Dws__MemberUpdate sender = DWS__MEMBER_UPDATE__INIT;
-	uint8_t bytes[500];
-
-	sender.vm_id = (char *)vm_id;
-	sender.ip = "10.0.0.1";
-	sender.frame_port = 1;
-	sender.datagram_port = 1;
-	sender.zone = "a";
-	sender.region = "r";
-	sender.service = "s";
-	sender.epoch = 5;
-	sender.incarnation = 6;
-	sender.state = state;
-	probe.sender = &sender;
-	CU_ASSERT(dws_membership_receive(bench->membership, 0, bytes,
-					 dws__probe__pack(&probe, bytes),
-					 NULL));
-}
-
 static void test_nearer_rings_go_first_until_they_are_busy(void)
 {
 	bench_t bench;
