Test that a restarted process outlives its former self

Cause: the rule that a process is not replaced by one that is gone had no test; fuzzing can't see it, as being replaced is allowed there. What: a process restarts with its clock set back and is cut off for 15 s.

--- a/test/unit/test_membership.c
+++ b/test/unit/test_membership.c
@@ -122,6 +122,23 @@
 	}
 }
 
+/* Its clock went back, and it is cut off until it is no new process any more. */
+static void test_restarted_process_outlives_its_former_self(void)
+{
+	fleet_t *fleet = start_fleet(6, 2, true);
+	fleet_node_t *restarted = fleet_node(fleet, 3);
+
+	CU_ASSERT(await_all(fleet, 6));
+	fleet_run(fleet, 25 * S);
+	restarted->side = 1;
+	fleet_start(fleet, 3, WALL_MS / 2);
+	fleet_run(fleet, 15 * S);
+	restarted->side = 0;
+	CU_ASSERT(await_all(fleet, 6));
+	CU_ASSERT_FALSE(dws_membership_is_replaced(restarted->membership));
+	finish(fleet);
+}
+
 static void test_halves_of_a_healed_partition_meet(void)
 {
 	fleet_t *fleet = start_fleet(24, 3, true);
@@ -310,6 +327,8 @@
 	CU_add_test(suite, "leaving",
 		    test_leaving_is_known_to_all_within_two_seconds);
 	CU_add_test(suite, "replacement", test_new_process_takes_a_vm_id_over);
+	CU_add_test(suite, "restart",
+		    test_restarted_process_outlives_its_former_self);
 	CU_add_test(suite, "partition", test_halves_of_a_healed_partition_meet);
 	CU_add_test(suite, "list", test_list_is_taken_whole_or_not);
 	CU_add_test(suite, "lagging list",
