Make members of a healed zone return sooner

Cause: with 860 members in 9 zones on a simulated clock, a zone that had been cut off for 10 minutes was seen alive by all only 489 s after it healed, and not all of it was seen dead within 600 s. Each process refutes its death, and the refutations filled the queues of news: a claim that changes nothing but the incarnation was passed on like news. Ruled out: probing the dead without news along (261 s). What: such refutations queue behind all news and for a third of the sends; one dead member that is still listed is probed each interval.

--- a/src/process/membership.c
+++ b/src/process/membership.c
@@ -197,6 +197,12 @@
 	       entry->member.datagram.port != 0;
 }
 
+static bool is_dead_but_listed(const dws_membership_t *membership,
+			       const dws_membership_entry_t *entry)
+{
+	return is_dead(membership, entry) && entry->member.listed;
+}
+
 static bool is_live_in_zone(const dws_membership_t *membership,
 			    const dws_membership_entry_t *entry)
 {
@@ -267,9 +273,11 @@
 
 	if (alone || round % SEED_PROBE_ROUNDS == 0)
 		ping_seed(membership);
-	if (!alone && round % DEAD_PROBE_ROUNDS != 0)
-		return;
-	dws_membership_entry_t *dead = random_member(membership, is_dead);
+	dws_membership_entry_t *dead =
+		random_member(membership, is_dead_but_listed);
+
+	if (!dead && (alone || round % DEAD_PROBE_ROUNDS == 0))
+		dead = random_member(membership, is_dead);
 
 	if (dead)
 		ping(membership, dead);
--- a/src/process/membership_table.c
+++ b/src/process/membership_table.c
@@ -180,6 +180,19 @@
 	g_queue_push_head_link(entry->queue, &entry->link);
 }
 
+/*
+ * Queues a claim that changes nothing but the incarnation: behind all news,
+ * and for fewer sends, as only those who know worse of the member need it.
+ */
+static void spread_refutation(dws_membership_t *membership,
+			      dws_membership_entry_t *entry)
+{
+	unqueue(entry);
+	entry->queue = &membership->news;
+	entry->sends_left = log2_ceiling(membership->all->len);
+	g_queue_push_tail_link(entry->queue, &entry->link);
+}
+
 /* Counts a passing on; the claim goes to the queue's end, or out of it. */
 void dws_membership_table_sent(dws_membership_entry_t *entry)
 {
@@ -266,6 +279,10 @@
 			     entry->claimed == DWS_MEMBER_ALIVE &&
 			     claim->state == DWS_MEMBER_ALIVE;
 
+	bool is_refutation = entry->member.epoch == claim->epoch &&
+			     entry->claimed == DWS_MEMBER_ALIVE &&
+			     claim->state == DWS_MEMBER_ALIVE;
+
 	if (entry->leaving_epoch == 0 && entry->member.epoch == 0)
 		entry->leaving_epoch = claim->epoch;
 	if (entry->member.epoch != claim->epoch)
@@ -275,7 +292,9 @@
 	dws_membership_table_copy_place(&entry->member, claim);
 	entry->claimed = claim->state;
 	dws_membership_table_refresh(membership, entry, moved);
-	if (!is_stale_news)
+	if (is_refutation)
+		spread_refutation(membership, entry);
+	else if (!is_stale_news)
 		dws_membership_table_set_state(membership, entry, claim->state);
 	return true;
 }
