Add the operators' tool

Operators need to see what daemons run, to try patches before they publish them, and to know whom to call before a slowdown.

One file for each subcommand and a table that names them. Patches are checked by the fold's own function, against a daemon or a file, so the tool and the daemons can't differ. JSON of daemons is read by the document parser. Exit code 1 says no or that a daemon did not answer, 2 wrong use or bad input.

--- /dev/null
+++ b/src/tool/config_show.c
@@ -0,0 +1,34 @@
+/*
+ * The subcommand "config show".
+ */
+#include "tool/admin.h"
+#include "tool/tool.h"
+
+/* Prints the configuration in force at the first daemon. */
+dws_exit_t dws_tool_config_show(const dws_tool_t *tool, int argc,
+				const char **argv)
+{
+	GError *error = NULL;
+
+	if (tool->json) {
+		char *text = dws_admin_request(tool->admins[0], DWS_ADMIN_GET,
+					       "/config", &error);
+
+		if (!text)
+			return dws_tool_fail(error, DWS_EXIT_NO);
+		puts(g_strchomp(text));
+		g_free(text);
+		return DWS_EXIT_OK;
+	}
+	dws_value_t *view = dws_admin_view(tool->admins[0], "/config", &error);
+
+	if (!view)
+		return dws_tool_fail(error, DWS_EXIT_NO);
+	const char *document = dws_value_text(dws_value_get(view, "document"));
+
+	printf("# version %s, sequence %s, digest %s\n%s",
+	       dws_view_text(view, "version"), dws_view_text(view, "sequence"),
+	       dws_view_text(view, "digest"), document ? document : "");
+	dws_value_unref(view);
+	return DWS_EXIT_OK;
+}
--- /dev/null
+++ b/src/tool/counters.c
@@ -0,0 +1,59 @@
+/*
+ * The subcommand "counters".
+ */
+#include "tool/admin.h"
+#include "tool/json.h"
+#include "tool/tool.h"
+
+/* Prints lines of "name value" as a line of JSON. */
+static void print_json(const char *address, const char *text)
+{
+	GString *out = g_string_new("{\"admin\":");
+	char **lines = g_strsplit(text, "\n", -1);
+	bool first = true;
+
+	dws_json_text(out, address);
+	g_string_append(out, ",\"counters\":{");
+	for (char **line = lines; *line; line++) {
+		char *space = strchr(*line, ' ');
+		guint64 value;
+
+		if (!space ||
+		    !g_ascii_string_to_unsigned(space + 1, 10, 0, G_MAXUINT64,
+						&value, NULL))
+			continue;
+		*space = '\0';
+		if (!first)
+			g_string_append_c(out, ',');
+		first = false;
+		dws_json_text(out, *line);
+		g_string_append_printf(out, ":%" G_GUINT64_FORMAT, value);
+	}
+	printf("%s}}\n", out->str);
+	g_strfreev(lines);
+	g_string_free(out, TRUE);
+}
+
+/* Prints the counters of each daemon. */
+dws_exit_t dws_tool_counters(const dws_tool_t *tool, int argc,
+			     const char **argv)
+{
+	dws_exit_t code = DWS_EXIT_OK;
+
+	for (const char **address = tool->admins; *address; address++) {
+		GError *error = NULL;
+		char *text = dws_admin_request(*address, DWS_ADMIN_GET,
+					       "/counters", &error);
+
+		if (!text) {
+			code = dws_tool_fail(error, DWS_EXIT_NO);
+			continue;
+		}
+		if (tool->json)
+			print_json(*address, text);
+		else
+			printf("# %s\n%s", *address, text);
+		g_free(text);
+	}
+	return code;
+}
--- /dev/null
+++ b/src/tool/json.c
@@ -0,0 +1,69 @@
+/*
+ * Writing of JSON.
+ */
+#include "tool/json.h"
+
+/* Appends a text in quotes, with the escapes that JSON requires. */
+void dws_json_text(GString *out, const char *text)
+{
+	g_string_append_c(out, '"');
+	for (const char *at = text; *at; at++) {
+		if (*at == '"' || *at == '\\')
+			g_string_append_printf(out, "\\%c", *at);
+		else if (g_ascii_iscntrl(*at))
+			g_string_append_printf(out, "\\u%04x",
+					       (unsigned int)*at);
+		else
+			g_string_append_c(out, *at);
+	}
+	g_string_append_c(out, '"');
+}
+
+/* Tells whether an unquoted scalar is a JSON literal. */
+static bool is_literal(const dws_value_t *value)
+{
+	uint64_t number;
+
+	if (value->quoted)
+		return false;
+	if (dws_value_number(value, UINT64_MAX, &number))
+		return value->text[0] != '0' || !value->text[1];
+	return !strcmp(value->text, "true") || !strcmp(value->text, "false");
+}
+
+/* Appends the members of a map or the items of a list. */
+static void append_items(GString *out, const dws_value_t *value)
+{
+	for (guint i = 0; i < value->items->len; i++) {
+		if (i > 0)
+			g_string_append_c(out, ',');
+		if (value->type == DWS_VALUE_LIST) {
+			dws_json_value(out, value->items->pdata[i]);
+			continue;
+		}
+		const dws_pair_t *pair = value->items->pdata[i];
+
+		dws_json_text(out, pair->key);
+		g_string_append_c(out, ':');
+		dws_json_value(out, pair->value);
+	}
+}
+
+/* Appends a value and what it holds. */
+void dws_json_value(GString *out, const dws_value_t *value)
+{
+	if (value->type == DWS_VALUE_SCALAR) {
+		if (dws_value_is_null(value))
+			g_string_append(out, "null");
+		else if (is_literal(value))
+			g_string_append(out, value->text);
+		else
+			dws_json_text(out, value->text);
+		return;
+	}
+	bool is_map = value->type == DWS_VALUE_MAP;
+
+	g_string_append_c(out, is_map ? '{' : '[');
+	append_items(out, value);
+	g_string_append_c(out, is_map ? '}' : ']');
+}
--- /dev/null
+++ b/src/tool/main.c
@@ -0,0 +1,201 @@
+/*
+ * The operators' tool: chooses a subcommand and reads the options.
+ */
+#include "tool/tool.h"
+#include "version/fields.h"
+#include <curl/curl.h>
+#include <popt.h>
+
+#define MAX_WORDS 2 /* of a subcommand's name */
+
+typedef struct dws_command {
+	const char *name;
+	const char *arguments;
+	int min_arguments;
+	int max_arguments; /* -1: any number */
+	const char *help;
+	dws_command_run_t run;
+} dws_command_t;
+
+static const dws_command_t commands[] = {
+	{"status", "", 0, 0,
+	 "Shows what daemons run, and which version is in force there.",
+	 dws_tool_status},
+	{"config show", "", 0, 0,
+	 "Prints the configuration in force at a daemon.",
+	 dws_tool_config_show},
+	{"config check", "FILE", 1, 1,
+	 "Checks a whole configuration file, without a daemon.",
+	 dws_tool_config_check},
+	{"patch check", "FILE", 1, 1,
+	 "Checks a patch against the version in force at a daemon, or against "
+	 "the\nfile of --base.",
+	 dws_tool_patch_check},
+	{"patch make", "FILE", 1, 1,
+	 "Checks a patch and prints the log entry to publish. With --base FILE "
+	 "and\n--base-version N it needs no daemon.",
+	 dws_tool_patch_make},
+	{"patch status", "SEQUENCE", 1, 1,
+	 "Asks daemons for the verdict on a published entry, and at how many "
+	 "it has\nbeen read. Exit code 1 unless all of them accepted it.",
+	 dws_tool_patch_status},
+	{"slowdown list", "[FILE]", 0, 1,
+	 "Lists planned slowdowns, and the customers still to be called: in "
+	 "force at\na daemon, or in a file. Exit code 1 if calls are missing.",
+	 dws_tool_slowdown_list},
+	{"drain", "", 0, 0,
+	 "Starts a graceful shutdown of daemons: no new work, then exit.",
+	 dws_tool_drain},
+	{"counters", "", 0, 0, "Prints the counters of daemons.",
+	 dws_tool_counters},
+	{"trace", "TRACE_ID FILE...", 2, -1,
+	 "Joins the span lines of log files into the tree of one request.",
+	 dws_tool_trace},
+};
+
+/* Finds the command whose name's words come first; counts the words. */
+static const dws_command_t *find_command(int argc, const char **argv,
+					 int *words)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+		char **name = g_strsplit(commands[i].name, " ", MAX_WORDS);
+		int count = (int)g_strv_length(name);
+		bool matches = argc >= count;
+
+		for (int word = 0; word < count && matches; word++)
+			matches = !strcmp(name[word], argv[word]);
+		g_strfreev(name);
+		if (matches) {
+			*words = count;
+			return &commands[i];
+		}
+	}
+	return NULL;
+}
+
+/* Prints the usage of all commands. */
+static void print_overview(FILE *out)
+{
+	fprintf(out, "Usage: dogwoodshift [OPTION...] COMMAND [ARGUMENT...]\n"
+		     "\nCommands:\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
+		fprintf(out, "  %s %s\n", commands[i].name,
+			commands[i].arguments);
+	fprintf(out,
+		"\nOptions:\n"
+		"  --admin IP:PORT     a daemon's admin address, more than "
+		"once for more\n"
+		"                      daemons (default 127.0.0.1:7070)\n"
+		"  --json              print JSON\n"
+		"  --base FILE         configuration to patch\n"
+		"  --base-version N    its version\n"
+		"  --help              help on a command\n"
+		"  --version           the version of this program\n"
+		"\nExit codes: 0 done or yes, 1 no, 2 wrong use or bad "
+		"input.\n");
+}
+
+/* Prints the usage of one command. */
+static void print_help(FILE *out, const dws_command_t *command)
+{
+	fprintf(out, "Usage: dogwoodshift %s %s\n\n%s\n", command->name,
+		command->arguments, command->help);
+}
+
+/* Checks all values of --admin before any is asked. */
+static bool check_admins(const dws_tool_t *tool)
+{
+	for (const char **admin = tool->admins; *admin; admin++) {
+		dws_address_t address;
+
+		if (dws_address_parse(&address, *admin))
+			continue;
+		fprintf(stderr,
+			"dogwoodshift: --admin %s: is no address; write "
+			"IP:PORT with an IP number\n",
+			*admin);
+		return false;
+	}
+	return true;
+}
+
+/* Runs the command that the words name. */
+static dws_exit_t run(const dws_tool_t *tool, int argc, const char **argv,
+		      bool wants_help)
+{
+	int words = 0;
+	const dws_command_t *command = find_command(argc, argv, &words);
+
+	if (!command) {
+		print_overview(wants_help ? stdout : stderr);
+		return wants_help && argc == 0 ? DWS_EXIT_OK : DWS_EXIT_USAGE;
+	}
+	int arguments = argc - words;
+	bool fits = arguments >= command->min_arguments &&
+		    (command->max_arguments < 0 ||
+		     arguments <= command->max_arguments);
+
+	if (wants_help || !fits) {
+		print_help(wants_help ? stdout : stderr, command);
+		return wants_help ? DWS_EXIT_OK : DWS_EXIT_USAGE;
+	}
+	if (!check_admins(tool))
+		return DWS_EXIT_USAGE;
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	dws_exit_t code = command->run(tool, arguments, argv + words);
+
+	curl_global_cleanup();
+	return code;
+}
+
+int main(int argc, char **argv)
+{
+	static const char *const default_admins[] = {"127.0.0.1:7070", NULL};
+	char **admins = NULL;
+	char *base_file = NULL;
+	long long base_version = -1;
+	int json = 0;
+	int help = 0;
+	int version = 0;
+	const struct poptOption options[] = {
+		{"admin", 'a', POPT_ARG_ARGV, &admins, 0, NULL, NULL},
+		{"json", 'j', POPT_ARG_NONE, &json, 0, NULL, NULL},
+		{"base", 0, POPT_ARG_STRING, &base_file, 0, NULL, NULL},
+		{"base-version", 0, POPT_ARG_LONGLONG, &base_version, 0, NULL,
+		 NULL},
+		{"help", 'h', POPT_ARG_NONE, &help, 0, NULL, NULL},
+		{"version", 0, POPT_ARG_NONE, &version, 0, NULL, NULL},
+		POPT_TABLEEND};
+	poptContext context = poptGetContext("dogwoodshift", argc,
+					     (const char **)argv, options, 0);
+	int fault = poptGetNextOpt(context);
+	dws_exit_t code = DWS_EXIT_USAGE;
+
+	if (fault < -1) {
+		fprintf(stderr, "dogwoodshift: %s: %s; see --help\n",
+			poptBadOption(context, 0), poptStrerror(fault));
+	} else if (version) {
+		puts("dogwoodshift " DWS_VERSION);
+		code = DWS_EXIT_OK;
+	} else {
+		const char **words = poptGetArgs(context);
+		dws_tool_t tool = {
+			.admins = admins ? (const char **)admins
+					 : (const char **)default_admins,
+			.base_file = base_file,
+			.base_version = base_version,
+			.json = json != 0,
+		};
+		int count = 0;
+
+		while (words && words[count])
+			count++;
+		code = run(&tool, count, words, help != 0);
+	}
+	poptFreeContext(context);
+	free(base_file);
+	for (int i = 0; admins && admins[i]; i++)
+		free(admins[i]);
+	free(admins);
+	return (int)code;
+}
--- /dev/null
+++ b/src/tool/patch.c
@@ -0,0 +1,95 @@
+/*
+ * The subcommands "patch check" and "patch make".
+ */
+#include "tool/base.h"
+#include "version/patch.h"
+
+/* Reads a patch, which must be a map; NULL with an error. */
+static dws_value_t *read_patch(const char *file, GError **error)
+{
+	size_t size_bytes = 0;
+	char *text = dws_tool_read_file(file, &size_bytes, error);
+
+	if (!text)
+		return NULL;
+	dws_value_t *patch = dws_document_parse(text, size_bytes, file, error);
+
+	g_free(text);
+	if (!patch || patch->type == DWS_VALUE_MAP)
+		return patch;
+	g_set_error(error, DWS_ERROR, DWS_ERROR_VALUE,
+		    "%s: is no map; write the keys to change", file);
+	dws_value_unref(patch);
+	return NULL;
+}
+
+/*
+ * Applies the patch of a file to the base. On success the caller finishes the
+ * result and drops the patch; else the fault is printed.
+ */
+static dws_exit_t apply(const dws_tool_t *tool, const char *file,
+			dws_base_t *base, dws_value_t **patch,
+			dws_checked_t *checked)
+{
+	GError *error = NULL;
+
+	*patch = read_patch(file, &error);
+	if (!*patch)
+		return dws_tool_fail(error, DWS_EXIT_USAGE);
+	dws_exit_t code = dws_base_init(base, tool);
+
+	if (code != DWS_EXIT_OK)
+		return code;
+	if (!dws_patch_apply(checked, base->document, *patch, base->version + 1,
+			     &error))
+		return dws_tool_fail(error, DWS_EXIT_NO);
+	return DWS_EXIT_OK;
+}
+
+/* Prints whether a patch would be accepted now. */
+dws_exit_t dws_tool_patch_check(const dws_tool_t *tool, int argc,
+				const char **argv)
+{
+	dws_base_t base = {.document = NULL};
+	dws_value_t *patch = NULL;
+	dws_checked_t checked = {.document = NULL};
+	dws_exit_t code = apply(tool, argv[0], &base, &patch, &checked);
+
+	if (code == DWS_EXIT_OK)
+		printf(tool->json ? "{\"valid\":true,\"base_version\":"
+				    "%" G_GUINT64_FORMAT "}\n"
+				  : "valid on version %" G_GUINT64_FORMAT "\n",
+		       base.version);
+	dws_checked_finish(&checked);
+	dws_base_finish(&base);
+	dws_value_unref(patch);
+	return code;
+}
+
+/* Prints the log entry of a patch, to be published by the operator. */
+dws_exit_t dws_tool_patch_make(const dws_tool_t *tool, int argc,
+			       const char **argv)
+{
+	dws_base_t base = {.document = NULL};
+	dws_value_t *patch = NULL;
+	dws_checked_t checked = {.document = NULL};
+
+	if (tool->base_file && tool->base_version < 0) {
+		fputs("dogwoodshift: patch make: --base needs its version; add "
+		      "--base-version N\n",
+		      stderr);
+		return DWS_EXIT_USAGE;
+	}
+	dws_exit_t code = apply(tool, argv[0], &base, &patch, &checked);
+
+	if (code == DWS_EXIT_OK) {
+		char *entry = dws_patch_entry(base.version, patch);
+
+		fputs(entry, stdout);
+		g_free(entry);
+	}
+	dws_checked_finish(&checked);
+	dws_base_finish(&base);
+	dws_value_unref(patch);
+	return code;
+}
--- /dev/null
+++ b/src/tool/slowdown_list.c
@@ -0,0 +1,124 @@
+/*
+ * The subcommand "slowdown list".
+ */
+#include "tool/base.h"
+#include "tool/json.h"
+#include "version/config.h"
+
+#define MS_PER_S 1000
+
+/* A time as it stands in configurations; freed with g_free(). */
+static char *time_text(int64_t time_ms)
+{
+	GDateTime *time = g_date_time_new_from_unix_utc(time_ms / MS_PER_S);
+	char *text = g_date_time_format(time, "%Y-%m-%dT%H:%M:%SZ");
+
+	g_date_time_unref(time);
+	return text;
+}
+
+/* The customers of a slowdown who are still to be called. */
+static GPtrArray *uncalled(const dws_slowdown_t *slowdown)
+{
+	GPtrArray *names = g_ptr_array_new();
+
+	for (guint i = 0; i < slowdown->customers->len; i++) {
+		char *customer = slowdown->customers->pdata[i];
+
+		if (!g_hash_table_contains(slowdown->called, customer))
+			g_ptr_array_add(names, customer);
+	}
+	return names;
+}
+
+/* Prints a slowdown as lines for people. */
+static void print_lines(const dws_slowdown_t *slowdown, const char *record,
+			const GPtrArray *names)
+{
+	printf("%s: adds %u ms, %u of %u customers called\n", slowdown->name,
+	       slowdown->added_delay_ms, slowdown->customers->len - names->len,
+	       slowdown->customers->len);
+	if (names->len > 0)
+		printf("  record of a call: %s\n", record);
+	for (guint i = 0; i < names->len; i++)
+		printf("  to be called: %s\n", (char *)names->pdata[i]);
+}
+
+/* Prints a slowdown as a line of JSON. */
+static void print_json(const dws_slowdown_t *slowdown, const char *record,
+		       const GPtrArray *names)
+{
+	GString *line = g_string_new("{\"slowdown\":");
+
+	dws_json_text(line, slowdown->name);
+	g_string_append(line, ",\"record\":");
+	dws_json_text(line, record);
+	g_string_append(line, ",\"uncalled\":[");
+	for (guint i = 0; i < names->len; i++) {
+		if (i > 0)
+			g_string_append_c(line, ',');
+		dws_json_text(line, names->pdata[i]);
+	}
+	printf("%s]}\n", line->str);
+	g_string_free(line, TRUE);
+}
+
+/* Prints one slowdown; tells whether all its customers were called. */
+static bool print_slowdown(const dws_tool_t *tool,
+			   const dws_slowdown_t *slowdown)
+{
+	GPtrArray *names = uncalled(slowdown);
+	char *start = time_text(slowdown->start_ms);
+	char *end = time_text(slowdown->end_ms);
+	char *record = dws_slowdown_call_record(slowdown, start, end);
+	bool complete = names->len == 0;
+
+	if (tool->json)
+		print_json(slowdown, record, names);
+	else
+		print_lines(slowdown, record, names);
+	g_free(record);
+	g_free(end);
+	g_free(start);
+	g_ptr_array_unref(names);
+	return complete;
+}
+
+/* Prints all slowdowns of a document. */
+static dws_exit_t print_all(const dws_tool_t *tool, const dws_base_t *base,
+			    const char *name)
+{
+	GError *error = NULL;
+	bool complete = true;
+
+	if (!base->document)
+		return DWS_EXIT_OK;
+	dws_config_t *config =
+		dws_config_build(base->document, name, base->version, &error);
+
+	if (!config)
+		return dws_tool_fail(error, DWS_EXIT_USAGE);
+	for (guint i = 0; i < config->slowdowns->len; i++)
+		complete &= print_slowdown(tool, config->slowdowns->pdata[i]);
+	dws_config_unref(config);
+	return complete ? DWS_EXIT_OK : DWS_EXIT_NO;
+}
+
+/* Lists the slowdowns in a file, or in force at the first daemon. */
+dws_exit_t dws_tool_slowdown_list(const dws_tool_t *tool, int argc,
+				  const char **argv)
+{
+	dws_tool_t source = *tool;
+	dws_base_t base;
+
+	if (argc > 0)
+		source.base_file = argv[0];
+	dws_exit_t code = dws_base_init(&base, &source);
+
+	if (code == DWS_EXIT_OK)
+		code = print_all(tool, &base,
+				 source.base_file ? source.base_file
+						  : tool->admins[0]);
+	dws_base_finish(&base);
+	return code;
+}
--- a/src/version/config.h
+++ b/src/version/config.h
@@ -79,6 +79,13 @@
 const dws_service_t *dws_config_service(const dws_config_t *config,
 					const char *name);
 
+/*
+ * The record of a call for exactly this slowdown, with its times as they
+ * stand in the document; freed with g_free().
+ */
+char *dws_slowdown_call_record(const dws_slowdown_t *slowdown,
+			       const char *start, const char *end);
+
 /*
  * The delay in ms that a planned slowdown adds to a request; 0 unless the
  * customer was called for exactly the window that surely is on, and the
--- a/src/version/slowdown.c
+++ b/src/version/slowdown.c
@@ -135,8 +135,8 @@
  * The record of a call for exactly this plan: "START/END/kind1+kind2", kinds
  * sorted. Freed with g_free().
  */
-static char *call_record(const dws_slowdown_t *slowdown, const char *start,
-			 const char *end)
+char *dws_slowdown_call_record(const dws_slowdown_t *slowdown,
+			       const char *start, const char *end)
 {
 	GString *record = g_string_new(NULL);
 
@@ -234,7 +234,7 @@
 	read_list(fields, "customers", slowdown->customers);
 	if (!start || !end)
 		return;
-	char *record = call_record(slowdown, start, end);
+	char *record = dws_slowdown_call_record(slowdown, start, end);
 
 	read_calls(fields, record, slowdown);
 	g_free(record);
