Count keys where a document's values are bounded

Cause: the parser counts keys against its bound of 65536 values, and the check of a result did not. Found by parsing texts of 1 MB for time, where 60000 empty maps were refused.

The count now takes keys in. The new test fills the bound exactly and goes one key over it; without the change 1 assert failed.

--- a/src/version/document.c
+++ b/src/version/document.c
@@ -128,7 +128,7 @@
 	       !strcmp(value->text, "NULL");
 }
 
-/* Counts the values of a tree, itself included. */
+/* Counts the values of a tree, itself and keys included, as the parser does. */
 size_t dws_value_count(const dws_value_t *value)
 {
 	size_t count = 1;
@@ -142,7 +142,7 @@
 		}
 		const dws_pair_t *pair = value->items->pdata[i];
 
-		count += dws_value_count(pair->value);
+		count += 1 + dws_value_count(pair->value);
 	}
 	return count;
 }
--- a/src/version/document.h
+++ b/src/version/document.h
@@ -10,7 +10,7 @@
 
 #define DWS_DOCUMENT_MAX_BYTES (1024 * 1024)
 #define DWS_DOCUMENT_MAX_DEPTH 32
-#define DWS_DOCUMENT_MAX_VALUES 65536
+#define DWS_DOCUMENT_MAX_VALUES 65536 /* keys included */
 #define DWS_DOCUMENT_MAX_KEY_BYTES 128
 
 typedef enum dws_value_type {
@@ -54,7 +54,7 @@
 		   dws_value_t *value);
 void dws_value_append(dws_value_t *list, dws_value_t *value);
 
-/* The number of values in a tree, itself included. */
+/* The number of values in a tree, itself and keys included. */
 size_t dws_value_count(const dws_value_t *value);
 bool dws_value_is_null(const dws_value_t *value);
 /* The value of a key, borrowed; NULL if it is absent or this is no map. */
--- a/test/unit/test_document.c
+++ b/test/unit/test_document.c
@@ -116,6 +116,25 @@
 	dws_value_unref(base);
 }
 
+/* Finds the bound of the parser for maps: keys count. */
+static void test_count_is_the_parsers(void)
+{
+	GString *text = g_string_new("{");
+	int pairs = (DWS_DOCUMENT_MAX_VALUES - 1) / 2;
+
+	for (int i = 0; i < pairs; i++)
+		g_string_append_printf(text, "%d: x, ", i);
+	g_string_append_c(text, '}');
+	dws_value_t *value = parse(text->str);
+
+	CU_ASSERT_EQUAL(dws_value_count(value), DWS_DOCUMENT_MAX_VALUES - 1);
+	g_string_truncate(text, text->len - 1);
+	g_string_append(text, "last: x}");
+	assert_refused(text->str, text->len, "more than 65536 values");
+	dws_value_unref(value);
+	g_string_free(text, TRUE);
+}
+
 /* The examples are of the kinds in RFC 7396, appendix A. */
 static void test_merge(void)
 {
@@ -142,6 +161,7 @@
 	CU_add_test(suite, "bounds", test_bounds);
 	CU_add_test(suite, "canonical", test_canonical_text);
 	CU_add_test(suite, "merge", test_merge);
+	CU_add_test(suite, "count", test_count_is_the_parsers);
 	CU_basic_run_tests();
 	unsigned int failures = CU_get_number_of_failures();
 
