Refuse settings whose TCP addresses collide

Cause: two listeners on one address were only noticed when the second could not bind it, and an upstream on a listener's address would make a daemon call itself. Both are now faults that name the two keys.

--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -195,6 +195,34 @@
 			  &settings->seeds[i]);
 }
 
+/*
+ * Reports each TCP address that stands twice: a second listener could not
+ * bind it, and an upstream there would be the process itself.
+ */
+static void check_distinct(const dws_fields_t *fields,
+			   const dws_settings_t *settings)
+{
+	const dws_address_t *const addresses[] = {
+		&settings->callers_listen, &settings->upstream_listen,
+		&settings->admin_listen, &settings->frame_listen,
+		&settings->upstream};
+	static const char *const keys[] = {"callers_listen", "upstream_listen",
+					   "admin_listen", "frame_listen",
+					   "upstream"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		for (size_t k = 0; k < i && addresses[i]->port > 0; k++) {
+			if (addresses[i]->port != addresses[k]->port ||
+			    strcmp(addresses[i]->ip, addresses[k]->ip) != 0)
+				continue;
+			dws_fields_fault(fields, DWS_ERROR_CONFLICT, keys[i],
+					 "is the address of %s; give it another"
+					 " port",
+					 keys[k]);
+		}
+	}
+}
+
 /* Checks what no key shows by itself. */
 static void check_together(const dws_fields_t *fields,
 			   const dws_settings_t *settings)
@@ -210,6 +238,7 @@
 		dws_fields_fault(fields, DWS_ERROR_CONFLICT, "upstream",
 				 "has no service; add service: NAME, or remove "
 				 "upstream");
+	check_distinct(fields, settings);
 	if (settings->admin_listen.port > 0 && !settings->admin_any_address &&
 	    !dws_address_is_loopback(&settings->admin_listen))
 		dws_fields_fault(fields, DWS_ERROR_CONFLICT, "admin_listen",
--- a/test/unit/test_settings.c
+++ b/test/unit/test_settings.c
@@ -69,6 +69,8 @@
 					       "does not fit; write IP:PORT"},
 		{"platform: 10.0.0.1:65536\n", "platform: "},
 		{"platform: ::1:80\n", "platform: "},
+		{"service: x\nupstream: 127.0.0.1:7001\n",
+		 "upstream: is the address of upstream_listen; give it"},
 		{"service: x\n", "service: has no upstream; add upstream"},
 		{"upstream: 10.0.0.1:1\n", "upstream: has no service; add"},
 		{"policy: fast\n", "policy: is none of the choices; write one "
