--- a/src/request/outgoing.c
+++ b/src/request/outgoing.c
@@ -267,6 +267,7 @@
 	wire_context.remaining_us -=
 		(uint32_t)MIN(hop_margin_us(wire_context.remaining_us),
 			      wire_context.remaining_us);
+	wire_context.parent_span = request->span_id;
 	dws_payload_to_wire(&request->payload, &wire_request);
 	wire_request.kind = request->kind.name;
 	submit.call_id = request->id;
