Bound the retries of a customer at the entry

Cause: the root's retry budget can't bound a customer who opens a new root request for every retry, and limits.customer_retries_per_min had no effect. A customer who asks again within 10 s of a failure now takes a token of a bucket of that rate; without one the answer is 429 customer-budget, not run. Retries with a ticket are joined and stay free.

--- a/src/process/node.c
+++ b/src/process/node.c
@@ -144,6 +144,7 @@
 	dws_ledger_init(&node->ledger, settings->max_ledger_entries,
 			STORED_BYTES_MAX);
 	init_tables(node);
+	dws_customers_init(&node->customers);
 	dws_admission_init(&node->admission, settings->policy,
 			   settings->upstream_slots, settings->max_queue);
 	node->fold = dws_fold_new();
@@ -167,6 +168,7 @@
 	dws_membership_free(node->membership);
 	dws_fold_free(node->fold);
 	dws_admission_finish(&node->admission);
+	dws_customers_finish(&node->customers);
 	g_queue_free_full(node->local_replies, free_reply);
 	g_hash_table_destroy(node->held_kinds);
 	g_hash_table_destroy(node->holds);
--- a/src/process/node_internal.h
+++ b/src/process/node_internal.h
@@ -12,6 +12,7 @@
 #include "process/settings.h"
 #include "process/timers.h"
 #include "request/admission.h"
+#include "request/customers.h"
 #include "request/ledger.h"
 #include "request/ticket.h"
 #include "version/fold.h"
@@ -170,6 +171,7 @@
 	bool holds_dirty; /* an upstream may have room for held requests */
 	GQueue *local_replies; /* dws_reply_t *, of own attempts */
 	dws_admission_t admission;
+	dws_customers_t customers;
 	dws_membership_t *membership;
 	dws_routing_t *routing;
 	dws_fold_t *fold;
--- /dev/null
+++ b/src/request/customers.c
@@ -0,0 +1,75 @@
+/*
+ * Retries by customers, bounded by a token bucket for each.
+ */
+#include "request/customers.h"
+
+/* A request this soon after a failure is a retry. */
+#define RETRY_WINDOW_US (10 * DWS_US_PER_S)
+#define US_PER_MIN (60 * DWS_US_PER_S)
+/* Beyond this, customers that start to fail are not watched. */
+#define MAX_BUCKETS 4096
+
+typedef struct bucket {
+	double used; /* tokens that are taken and not yet given back */
+	int64_t updated_us;
+	int64_t failed_us;
+} bucket_t;
+
+/* Starts without any customer, on memory of the caller. */
+void dws_customers_init(dws_customers_t *customers)
+{
+	customers->buckets =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+/* Frees all buckets. */
+void dws_customers_finish(dws_customers_t *customers)
+{
+	g_hash_table_destroy(customers->buckets);
+}
+
+static gboolean is_over(gpointer name, gpointer value, gpointer now_us)
+{
+	return ((bucket_t *)value)->failed_us + US_PER_MIN < *(int64_t *)now_us;
+}
+
+/* Notes that a request of a customer failed. */
+void dws_customers_failed(dws_customers_t *customers, int64_t now_us,
+			  const char *name)
+{
+	bucket_t *bucket = g_hash_table_lookup(customers->buckets, name);
+
+	if (name[0] == '\0')
+		return;
+	if (!bucket) {
+		if (g_hash_table_size(customers->buckets) >= MAX_BUCKETS)
+			g_hash_table_foreach_remove(customers->buckets, is_over,
+						    &now_us);
+		if (g_hash_table_size(customers->buckets) >= MAX_BUCKETS)
+			return;
+		bucket = g_new0(bucket_t, 1);
+		bucket->updated_us = now_us;
+		g_hash_table_insert(customers->buckets, g_strdup(name), bucket);
+	}
+	bucket->failed_us = now_us;
+}
+
+/* Tells whether a customer may ask now; takes a token if it is a retry. */
+bool dws_customers_allow(dws_customers_t *customers, int64_t now_us,
+			 const char *name, uint32_t retries_per_min)
+{
+	bucket_t *bucket = g_hash_table_lookup(customers->buckets, name);
+	double refilled;
+
+	if (!bucket || retries_per_min == 0 ||
+	    now_us - bucket->failed_us > RETRY_WINDOW_US)
+		return true;
+	refilled = (double)(now_us - bucket->updated_us) * retries_per_min /
+		   US_PER_MIN;
+	bucket->updated_us = now_us;
+	bucket->used = MAX(bucket->used - refilled, 0.0);
+	if (bucket->used + 1 > retries_per_min)
+		return false;
+	bucket->used += 1;
+	return true;
+}
--- a/src/request/fate.c
+++ b/src/request/fate.c
@@ -61,7 +61,8 @@
 	dws_count(node, by_outcome[result->outcome]);
 	if (result->reason == DWS_REASON_OVERLOAD)
 		dws_count(node, DWS_COUNT_REFUSED_OVERLOAD);
-	if (result->reason == DWS_REASON_RETRY_BUDGET)
+	if (result->reason == DWS_REASON_RETRY_BUDGET ||
+	    result->reason == DWS_REASON_CUSTOMER_BUDGET)
 		dws_count(node, DWS_COUNT_REFUSED_BUDGET);
 	dws_counters_time(&node->counters, DWS_HIST_CALL,
 			  node->now_us - request->start_us);
@@ -118,6 +119,13 @@
 	node->io->ops->answer(node->io, request->id, &answer);
 }
 
+/* A customer who asks again after such an end is retrying. */
+static bool is_failure(const dws_result_t *result)
+{
+	return result->outcome != DWS_OUTCOME_COMPLETE &&
+	       result->reason != DWS_REASON_NO_TICKET;
+}
+
 /* Answers whoever waits for the request, once; the request stays. */
 void dws_request_deliver(dws_node_t *node, dws_request_t *request,
 			 const dws_result_t *result)
@@ -127,6 +135,10 @@
 	request->detached = true;
 	write_span(node, request, result);
 	count_result(node, request, result);
+	if (!request->from_peer && !request->parent_attempt &&
+	    is_failure(result))
+		dws_customers_failed(&node->customers, node->now_us,
+				     request->context.customer);
 	if (request->from_peer)
 		reply_to_submitter(node, request, result);
 	else
@@ -437,6 +449,9 @@
 	if (request->parent_attempt)
 		dws_attempt_nested_end(node, request->parent_attempt,
 				       request->id, 0);
+	else
+		dws_customers_failed(&node->customers, node->now_us,
+				     request->context.customer);
 	abandon(node, request);
 }
 
--- a/src/request/intake.c
+++ b/src/request/intake.c
@@ -266,17 +266,25 @@
 }
 
 /*
- * Bounds the requests in flight. Urgent kinds have twice the room of those
- * that are refused first, so these never crowd them out.
+ * Bounds the requests in flight and the retries of a customer. Urgent kinds
+ * have twice the room of those that are refused first, so these never crowd
+ * them out.
  */
-static dws_reason_t check_room(dws_node_t *node, const dws_kind_t *kind)
+static dws_reason_t check_room(dws_node_t *node, const dws_kind_t *kind,
+			       const dws_call_t *call)
 {
 	uint32_t room = node->settings->max_calls;
+	const dws_config_t *config = dws_fold_config(node->fold);
 
 	if (kind->priority > 0)
 		room *= 2;
 	if (g_hash_table_size(node->requests) > room)
 		return DWS_REASON_OVERLOAD;
+	/* A ticket's retries are joined, which costs next to nothing. */
+	if (call->customer && !call->ticket &&
+	    !dws_customers_allow(&node->customers, node->now_us, call->customer,
+				 config->customer_retries_per_min))
+		return DWS_REASON_CUSTOMER_BUDGET;
 	return DWS_REASON_NONE;
 }
 
@@ -316,7 +324,7 @@
 	if (reason == DWS_REASON_NONE) {
 		request->kind = *kind;
 		if (!parent)
-			reason = check_room(node, kind);
+			reason = check_room(node, kind, call);
 	}
 	if (reason == DWS_REASON_NONE) {
 		if (parent)
--- a/test/unit/test_node.c
+++ b/test/unit/test_node.c
@@ -25,7 +25,7 @@
 	" worth: 1, idempotent: false, calls_per_parent: 1, retry_budget: 2,"
 	" timeout_ms: 1000}\n"
 	"    slowdowns: {}\n"
-	"    limits: {}\n";
+	"    limits: {customer_retries_per_min: 5}\n";
 
 /* A driver that records what the node asks for. */
 typedef struct recorder {
@@ -297,6 +297,27 @@
 	finish(&recorder);
 }
 
+static void test_retries_of_a_customer_are_bounded(void)
+{
+	recorder_t recorder;
+	uint32_t allowed = 0;
+
+	start(&recorder);
+	for (int i = 0; i < 20; i++) {
+		uint64_t id = call(&recorder, "GET", NULL, "");
+
+		allowed += recorder.dispatches == allowed + 1;
+		dws_node_caller_gone(recorder.node, recorder.now_us, id);
+	}
+	CU_ASSERT_EQUAL(allowed, 1 + 5);
+	CU_ASSERT_EQUAL(recorder.reason, DWS_REASON_CUSTOMER_BUDGET);
+	for (int i = 0; i < 60; i++)
+		tick(&recorder, DWS_US_PER_S / 5);
+	call(&recorder, "GET", NULL, "");
+	CU_ASSERT_EQUAL(recorder.dispatches, 1 + 5 + 1);
+	finish(&recorder);
+}
+
 int main(void)
 {
 	CU_initialize_registry();
@@ -309,6 +330,8 @@
 	CU_add_test(suite, "refused", test_refused_ticket_never_runs);
 	CU_add_test(suite, "hang-up",
 		    test_hang_up_cancels_only_idempotent_work);
+	CU_add_test(suite, "customer retries",
+		    test_retries_of_a_customer_are_bounded);
 	CU_add_test(suite, "paused", test_deadline_passes_while_paused);
 	CU_basic_run_tests();
 	unsigned int failures = CU_get_number_of_failures();
