Name the log of patches apart, and read large views in the tool

Cause: dws_log_t named both the log of patches and the process's event log, so no file could include both; and the tool read a daemon's answer with the bound of a document, which the JSON escapes of a large configuration go over.

The log of patches is dws_patch_log_t in patch_log.[ch]. The parser takes the bound as an argument where the tool reads an answer.

--- a/src/tool/admin.c
+++ b/src/tool/admin.c
@@ -82,7 +82,7 @@
 
 /*
  * Reads a JSON object of a daemon. JSON is read as the subset of YAML that it
- * is, with the bounds of documents.
+ * is. It may be larger than a document, as it holds one with escapes.
  */
 dws_value_t *dws_admin_view(const char *address, const char *path,
 			    GError **error)
@@ -92,7 +92,8 @@
 	if (!text)
 		return NULL;
 	char *name = g_strconcat(address, path, NULL);
-	dws_value_t *view = dws_document_parse(text, strlen(text), name, error);
+	dws_value_t *view = dws_document_parse_up_to(MAX_ANSWER_BYTES, text,
+						     strlen(text), name, error);
 
 	if (view && view->type != DWS_VALUE_MAP) {
 		g_set_error(error, DWS_ERROR, DWS_ERROR_PEER,
--- a/src/version/document.h
+++ b/src/version/document.h
@@ -38,6 +38,10 @@
 /* Parses one document; name stands for the file in messages. */
 dws_value_t *dws_document_parse(const char *text, size_t size_bytes,
 				const char *name, GError **error);
+/* The same with another bound on the size. */
+dws_value_t *dws_document_parse_up_to(size_t max_bytes, const char *text,
+				      size_t size_bytes, const char *name,
+				      GError **error);
 /* Text of a value with sorted keys; equal trees give equal text. */
 char *dws_document_canonical(const dws_value_t *value);
 /* A new tree: a document with a patch merged in (RFC 7396). */
--- a/src/version/document_parse.c
+++ b/src/version/document_parse.c
@@ -227,21 +227,22 @@
 }
 
 /*
- * Parses one YAML document of at most DWS_DOCUMENT_MAX_BYTES. Returns a tree
- * that the caller drops with dws_value_unref(), or NULL with an error of the
- * kind SYNTAX or TOO_LARGE that names the first fault.
+ * Parses one YAML document of at most max_bytes. Returns a tree that the
+ * caller drops with dws_value_unref(), or NULL with an error of the kind
+ * SYNTAX or TOO_LARGE that names the first fault.
  */
-dws_value_t *dws_document_parse(const char *text, size_t size_bytes,
-				const char *name, GError **error)
+dws_value_t *dws_document_parse_up_to(size_t max_bytes, const char *text,
+				      size_t size_bytes, const char *name,
+				      GError **error)
 {
 	dws_parse_t parse = {.name = name, .error = error};
 	yaml_parser_t parser;
 
-	if (size_bytes > DWS_DOCUMENT_MAX_BYTES) {
+	if (size_bytes > max_bytes) {
 		g_set_error(error, DWS_ERROR, DWS_ERROR_TOO_LARGE,
-			    "%s: %zu bytes are over the limit of %d; make the "
+			    "%s: %zu bytes are over the limit of %zu; make the "
 			    "document smaller",
-			    name, size_bytes, DWS_DOCUMENT_MAX_BYTES);
+			    name, size_bytes, max_bytes);
 		return NULL;
 	}
 	if (!yaml_parser_initialize(&parser)) {
@@ -260,3 +261,11 @@
 	discard(&parse);
 	return NULL;
 }
+
+/* Parses one YAML document of at most DWS_DOCUMENT_MAX_BYTES. */
+dws_value_t *dws_document_parse(const char *text, size_t size_bytes,
+				const char *name, GError **error)
+{
+	return dws_document_parse_up_to(DWS_DOCUMENT_MAX_BYTES, text,
+					size_bytes, name, error);
+}
--- a/src/version/fold.c
+++ b/src/version/fold.c
@@ -4,7 +4,7 @@
  */
 #include "version/fold.h"
 #include "version/fields.h"
-#include "version/log.h"
+#include "version/patch_log.h"
 #include "version/patch.h"
 
 #define MAX_KEPT_ENTRIES 1024
@@ -167,7 +167,7 @@
 }
 
 /* Decides on an entry; on acceptance the result is filled. */
-static bool judge_entry(const dws_fold_t *fold, const dws_log_entry_t *entry,
+static bool judge_entry(const dws_fold_t *fold, const dws_patch_entry_t *entry,
 			uint64_t *base_version, dws_checked_t *checked,
 			GError **error)
 {
@@ -201,7 +201,7 @@
 }
 
 /* Folds the entry that follows our sequence. */
-static void fold_entry(dws_fold_t *fold, const dws_log_entry_t *entry,
+static void fold_entry(dws_fold_t *fold, const dws_patch_entry_t *entry,
 		       dws_fold_result_t *result)
 {
 	uint64_t base_version = 0;
@@ -226,7 +226,7 @@
  * Takes a snapshot above our sequence. False if its document is not valid.
  * The verdicts of the entries that it replaces are not known.
  */
-static bool take_snapshot(dws_fold_t *fold, const dws_log_t *log,
+static bool take_snapshot(dws_fold_t *fold, const dws_patch_log_t *log,
 			  dws_fold_result_t *result, GError **error)
 {
 	dws_checked_t checked = {.document = NULL};
@@ -248,12 +248,12 @@
 }
 
 /* Folds the entries that follow without a gap. */
-static void take_entries(dws_fold_t *fold, const dws_log_t *log,
+static void take_entries(dws_fold_t *fold, const dws_patch_log_t *log,
 			 dws_fold_result_t *result)
 {
 	for (guint i = 0; i < log->entries->len; i++) {
-		const dws_log_entry_t *entry =
-			&g_array_index(log->entries, dws_log_entry_t, i);
+		const dws_patch_entry_t *entry =
+			&g_array_index(log->entries, dws_patch_entry_t, i);
 
 		if (entry->sequence <= fold->sequence)
 			continue;
@@ -266,7 +266,7 @@
 }
 
 /* Tells whether a snapshot has another document than the one in force. */
-static bool document_differs(const dws_fold_t *fold, const dws_log_t *log)
+static bool document_differs(const dws_fold_t *fold, const dws_patch_log_t *log)
 {
 	if (!log->snapshot_document)
 		return fold->current.text != NULL;
@@ -282,7 +282,7 @@
  * After entries that we have read, the version is ours or a later entry's: an
  * older one would put an older configuration back into force.
  */
-static bool snapshot_differs(const dws_fold_t *fold, const dws_log_t *log)
+static bool snapshot_differs(const dws_fold_t *fold, const dws_patch_log_t *log)
 {
 	if (log->snapshot_version == fold->version)
 		return document_differs(fold, log);
@@ -300,7 +300,8 @@
 }
 
 /* Tells whether an entry differs from the one that we folded. */
-static bool entry_differs(const dws_fold_t *fold, const dws_log_entry_t *entry)
+static bool entry_differs(const dws_fold_t *fold,
+			  const dws_patch_entry_t *entry)
 {
 	const dws_kept_t *kept = find_kept(fold, entry->sequence);
 
@@ -317,7 +318,7 @@
  * Tells whether a log contradicts our state or the entries that we keep: it
  * then has another history than ours.
  */
-static bool is_conflict(const dws_fold_t *fold, const dws_log_t *log)
+static bool is_conflict(const dws_fold_t *fold, const dws_patch_log_t *log)
 {
 	if (log->has_snapshot && log->snapshot_sequence >= fold->sequence &&
 	    snapshot_differs(fold, log))
@@ -326,14 +327,14 @@
 		return false;
 	for (guint i = 0; i < log->entries->len; i++) {
 		if (entry_differs(fold, &g_array_index(log->entries,
-						       dws_log_entry_t, i)))
+						       dws_patch_entry_t, i)))
 			return true;
 	}
 	return false;
 }
 
 /* Takes what is new in a log that fits our history. */
-static bool take_log(dws_fold_t *fold, const dws_log_t *log,
+static bool take_log(dws_fold_t *fold, const dws_patch_log_t *log,
 		     dws_fold_result_t *result, GError **error)
 {
 	if (log->has_snapshot && log->snapshot_sequence > fold->sequence &&
@@ -353,17 +354,17 @@
 bool dws_fold_offer(dws_fold_t *fold, const char *text, size_t size_bytes,
 		    dws_fold_result_t *result, GError **error)
 {
-	dws_log_t log;
+	dws_patch_log_t log;
 	bool ok = true;
 
 	*result = (dws_fold_result_t){.advanced = false};
-	if (!dws_log_init(&log, text, size_bytes, error))
+	if (!dws_patch_log_init(&log, text, size_bytes, error))
 		return false;
 	result->older = log.end > 0 && log.end < fold->sequence;
 	result->conflict = is_conflict(fold, &log);
 	if (!result->conflict)
 		ok = take_log(fold, &log, result, error);
-	dws_log_finish(&log);
+	dws_patch_log_finish(&log);
 	return ok;
 }
 
@@ -379,7 +380,7 @@
 
 		values[i] = kept->value;
 	}
-	char *text = dws_log_entries_text(values, count);
+	char *text = dws_patch_log_entries_text(values, count);
 
 	g_free(values);
 	return text;
@@ -392,11 +393,11 @@
 	*size_bytes = 0;
 	if (after >= fold->sequence)
 		return NULL;
-	char *text =
-		fold->sequence - after <= fold->kept->len
-			? kept_text(fold, after)
-			: dws_log_snapshot_text(fold->sequence, fold->version,
-						fold->current.document);
+	char *text = fold->sequence - after <= fold->kept->len
+			     ? kept_text(fold, after)
+			     : dws_patch_log_snapshot_text(
+				       fold->sequence, fold->version,
+				       fold->current.document);
 
 	*size_bytes = strlen(text);
 	return text;
--- a/src/version/log.c
+++ b/src/version/patch_log.c
@@ -1,7 +1,7 @@
 /*
  * Reading and writing of logs.
  */
-#include "version/log.h"
+#include "version/patch_log.h"
 #include "version/fields.h"
 
 #define MAX_SEQUENCE ((uint64_t)INT64_MAX)
@@ -27,7 +27,7 @@
  * Reads the snapshot. Nulls in its document are left out, as a merge of the
  * patches would have done.
  */
-static void read_snapshot(const dws_fields_t *root, dws_log_t *log)
+static void read_snapshot(const dws_fields_t *root, dws_patch_log_t *log)
 {
 	static const char *const keys[] = {"sequence", "version", "document"};
 	const dws_value_t *value = dws_fields_get(root, "snapshot");
@@ -55,9 +55,9 @@
 
 /* Reads the sequence of one entry; the rest of it is judged by the fold. */
 static void read_entry(dws_faults_t *faults, dws_value_t *value, guint at,
-		       dws_log_t *log)
+		       dws_patch_log_t *log)
 {
-	dws_log_entry_t entry = {.value = value};
+	dws_patch_entry_t entry = {.value = value};
 	uint64_t previous = 0;
 	dws_fields_t fields;
 	char path[32];
@@ -67,7 +67,7 @@
 	    !read_sequence(&fields, "sequence", 1, &entry.sequence))
 		return;
 	if (log->entries->len > 0)
-		previous = g_array_index(log->entries, dws_log_entry_t,
+		previous = g_array_index(log->entries, dws_patch_entry_t,
 					 log->entries->len - 1)
 				   .sequence;
 	if (entry.sequence <= previous)
@@ -79,7 +79,7 @@
 }
 
 /* Reads the list of entries. */
-static void read_entries(const dws_fields_t *root, dws_log_t *log)
+static void read_entries(const dws_fields_t *root, dws_patch_log_t *log)
 {
 	const dws_value_t *list = dws_fields_get(root, "entries");
 
@@ -96,18 +96,18 @@
 }
 
 /* Reads a log; only its frame is checked, no document and no patch. */
-bool dws_log_init(dws_log_t *log, const char *text, size_t size_bytes,
-		  GError **error)
+bool dws_patch_log_init(dws_patch_log_t *log, const char *text,
+			size_t size_bytes, GError **error)
 {
 	static const char *const keys[] = {"snapshot", "entries"};
 	dws_faults_t faults;
 	dws_fields_t fields;
 
-	*log = (dws_log_t){.has_snapshot = false};
+	*log = (dws_patch_log_t){.has_snapshot = false};
 	log->root = dws_document_parse(text, size_bytes, "log", error);
 	if (!log->root)
 		return false;
-	log->entries = g_array_new(FALSE, TRUE, sizeof(dws_log_entry_t));
+	log->entries = g_array_new(FALSE, TRUE, sizeof(dws_patch_entry_t));
 	dws_faults_init(&faults, "log");
 	if (dws_fields_init(&fields, &faults, log->root, "")) {
 		dws_fields_known(&fields, keys, G_N_ELEMENTS(keys));
@@ -116,12 +116,12 @@
 	}
 	if (dws_faults_finish(&faults, error))
 		return true;
-	dws_log_finish(log);
+	dws_patch_log_finish(log);
 	return false;
 }
 
 /* Frees what was read. */
-void dws_log_finish(dws_log_t *log)
+void dws_patch_log_finish(dws_patch_log_t *log)
 {
 	g_array_unref(log->entries);
 	dws_value_unref(log->snapshot_document);
@@ -138,8 +138,8 @@
 }
 
 /* A log of one snapshot. */
-char *dws_log_snapshot_text(uint64_t sequence, uint64_t version,
-			    dws_value_t *document)
+char *dws_patch_log_snapshot_text(uint64_t sequence, uint64_t version,
+				  dws_value_t *document)
 {
 	dws_value_t *snapshot = dws_value_new_map(0);
 	dws_value_t *log = dws_value_new_map(0);
@@ -153,7 +153,7 @@
 }
 
 /* A log of entries alone. */
-char *dws_log_entries_text(dws_value_t *const *entries, size_t count)
+char *dws_patch_log_entries_text(dws_value_t *const *entries, size_t count)
 {
 	dws_value_t *list = dws_value_new_list(0);
 	dws_value_t *log = dws_value_new_map(0);
