Give up connecting to the upstream at the deadline

The time for a connect was a second whatever remained, so a caller of the client that waits longer for the answer than the deadline would have sent expired work. Not shown by a test: a connect that hangs can't be had on loopback.

--- a/src/connection/http_client_io.c
+++ b/src/connection/http_client_io.c
@@ -353,6 +353,9 @@
 	set_headers(transfer, dispatch, remaining_ms);
 	set_common(transfer, &client->upstream, dispatch->path, remaining_ms);
 	set_request(transfer, dispatch);
+	/* Nothing is sent after the deadline. */
+	curl_easy_setopt(transfer->easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)MIN(CONNECT_TIMEOUT_MS, remaining_ms));
 	if (!dispatch->idempotent) {
 		curl_easy_setopt(transfer->easy, CURLOPT_FRESH_CONNECT, 1L);
 		curl_easy_setopt(transfer->easy, CURLOPT_FORBID_REUSE, 1L);
