Keep half of the connections for urgent work

Cause: browsing that waits holds its connection, and max_calls (4096) was above max_connections (1024), so a browsing flood could fill every connection and an urgent caller would not even be heard. Ruled out: the queues, which displace by priority. Kinds of priority 0 may now take half of max_connections; the new unit test fails without the bound (5 browsing calls held, none refused).

--- a/src/request/intake.c
+++ b/src/request/intake.c
@@ -266,15 +266,16 @@
 }
 
 /*
- * Bounds the requests in flight and the retries of a customer. Urgent kinds
- * have twice the room of those that are refused first, so these never crowd
- * them out.
+ * Bounds the requests in flight and the retries of a customer. Kinds that are
+ * refused first may take half of the connections at most, so that what waits
+ * for room never keeps an urgent caller from being heard.
  */
 static dws_reason_t check_room(dws_node_t *node, const dws_kind_t *kind,
 			       const dws_call_t *call)
 {
-	uint32_t room = node->settings->max_calls;
+	const dws_settings_t *settings = node->settings;
 	const dws_config_t *config = dws_fold_config(node->fold);
+	uint32_t room = MIN(settings->max_calls, settings->max_connections / 2);
 
 	if (kind->priority > 0)
 		room *= 2;
--- a/test/unit/test_node.c
+++ b/test/unit/test_node.c
@@ -318,6 +318,26 @@
 	finish(&recorder);
 }
 
+static void test_browsing_leaves_room_for_urgent_calls(void)
+{
+	recorder_t recorder;
+
+	start(&recorder);
+	recorder.settings.max_connections = 8;
+	for (int i = 0; i < 4; i++)
+		call(&recorder, "GET", NULL, "");
+	CU_ASSERT_EQUAL(recorder.answers, 0);
+	call(&recorder, "GET", NULL, "");
+	CU_ASSERT_EQUAL(recorder.answers, 1);
+	CU_ASSERT_EQUAL(recorder.outcome, DWS_OUTCOME_NOT_RUN);
+	CU_ASSERT_EQUAL(recorder.reason, DWS_REASON_OVERLOAD);
+	call(&recorder, "POST", NULL, "box");
+	CU_ASSERT_EQUAL(recorder.reason, DWS_REASON_NO_TICKET);
+	call(&recorder, "POST", recorder.ticket, "box");
+	CU_ASSERT_EQUAL(recorder.answers, 2);
+	finish(&recorder);
+}
+
 int main(void)
 {
 	CU_initialize_registry();
@@ -332,6 +352,7 @@
 		    test_hang_up_cancels_only_idempotent_work);
 	CU_add_test(suite, "customer retries",
 		    test_retries_of_a_customer_are_bounded);
+	CU_add_test(suite, "room", test_browsing_leaves_room_for_urgent_calls);
 	CU_add_test(suite, "paused", test_deadline_passes_while_paused);
 	CU_basic_run_tests();
 	unsigned int failures = CU_get_number_of_failures();
