Let the node's oracle follow nested calls

It now demands for every nested dispatch a call that was not told "not run", and the retry budget is 4, so that two retries are possible.

--- a/test/fuzz/fuzz_node.c
+++ b/test/fuzz/fuzz_node.c
@@ -6,7 +6,8 @@
  * told: non-idempotent work is dispatched at most once, what was told "not
  * run" never is, a whole answer is the one of its own identity, and a root
  * request causes at most one execution for each place in its tree plus its
- * retry budget.
+ * retry budget. Nested work is dispatched only for a call that was not told
+ * "not run".
  *
  * Fuzz runs: 800
  */
@@ -15,13 +16,14 @@
 
 #include "process/counters.h"
 #include "process/settings.h"
+#include "request/ticket.h"
 
 #define NODES 4
 #define MAX_ORDERS 24
 #define MAX_PENDING 64
 #define MAX_QUEUE 512
 #define MAX_ROOTS 256
-#define RETRY_BUDGET 2
+#define RETRY_BUDGET 4
 #define RANDOM_STEPS 300
 #define START_US (1000 * DWS_US_PER_S)
 
@@ -61,6 +63,7 @@
 	uint32_t node;
 	uint64_t call_id;
 	int order; /* -1: browsing, -2: nested, -3: asks for a ticket */
+	char identity[64]; /* of a nested call */
 } asked_t;
 
 typedef struct host {
@@ -85,9 +88,11 @@
 static order_t orders[MAX_ORDERS];
 static asked_t asked[MAX_PENDING];
 static asked_t *asking; /* the call that is being made */
+static char nested_call_identity[64]; /* of it, if it is nested */
 static GHashTable *executions; /* identity to count */
 static GHashTable *root_places; /* "epoch-serial" to set of places */
 static GHashTable *root_totals; /* "epoch-serial" to executions */
+static GHashTable *open_calls; /* identity to nested calls that may run */
 
 static const char *const config_log =
 	"snapshot:\n"
@@ -98,18 +103,18 @@
 	"    kinds:\n"
 	"      browse: {service: shop, method: GET, path_prefix: /, priority: "
 	"0,"
-	" worth: 1, idempotent: true, calls_per_parent: 1, retry_budget: 2,"
+	" worth: 1, idempotent: true, calls_per_parent: 1, retry_budget: 4,"
 	" timeout_ms: 1000}\n"
 	"      order: {service: shop, method: POST, path_prefix: /, priority: "
 	"2,"
-	" worth: 1, idempotent: false, calls_per_parent: 1, retry_budget: 2,"
+	" worth: 1, idempotent: false, calls_per_parent: 1, retry_budget: 4,"
 	" timeout_ms: 1000}\n"
 	"      look: {service: stock, method: GET, path_prefix: /, priority: 0,"
-	" worth: 1, idempotent: true, calls_per_parent: 1, retry_budget: 2,"
+	" worth: 1, idempotent: true, calls_per_parent: 1, retry_budget: 4,"
 	" timeout_ms: 1000}\n"
 	"      take: {service: stock, method: POST, path_prefix: /, priority: "
 	"2,"
-	" worth: 1, idempotent: false, calls_per_parent: 1, retry_budget: 2,"
+	" worth: 1, idempotent: false, calls_per_parent: 1, retry_budget: 4,"
 	" timeout_ms: 1000}\n"
 	"    slowdowns: {}\n"
 	"    limits: {}\n";
@@ -124,10 +129,10 @@
 	return GPOINTER_TO_SIZE(g_hash_table_lookup(table, key));
 }
 
-static void add_one(GHashTable *table, const char *key)
+static void add(GHashTable *table, const char *key, int amount)
 {
 	g_hash_table_insert(table, g_strdup(key),
-			    GSIZE_TO_POINTER(count_of(table, key) + 1));
+			    GSIZE_TO_POINTER(count_of(table, key) + amount));
 }
 
 static order_t *order_of(const char *identity)
@@ -163,8 +168,8 @@
 		g_hash_table_insert(root_places, g_strdup(root), places);
 	}
 	g_hash_table_add(places, g_strdup(pending->identity));
-	add_one(executions, pending->identity);
-	add_one(root_totals, root);
+	add(executions, pending->identity, 1);
+	add(root_totals, root, 1);
 	if (!pending->idempotent)
 		CHECK(count_of(executions, pending->identity) == 1);
 	CHECK(count_of(root_totals, root) <=
@@ -236,6 +241,8 @@
 	found->used = false;
 	if (found->order >= 0)
 		check_told(&orders[found->order], answer);
+	if (found->order == -2 && answer->outcome == DWS_OUTCOME_NOT_RUN)
+		add(open_calls, found->identity, -1);
 	if (found->order == -3 && answer->next_ticket)
 		take_ticket(answer->next_ticket);
 }
@@ -251,6 +258,9 @@
 		CHECK(!is_pending(dispatch->identity));
 	}
 	CHECK(!order || !order->told_not_run);
+	if (!dispatch->idempotent &&
+	    !g_str_has_suffix(dispatch->identity, "-0"))
+		CHECK(count_of(open_calls, dispatch->identity) > 0);
 	for (int i = 0; i < MAX_PENDING; i++) {
 		pending_t *pending = &pendings[i];
 
@@ -491,6 +501,8 @@
 			continue;
 		asked[i] =
 			(asked_t){.used = true, .node = node, .order = order};
+		g_strlcpy(asked[i].identity, nested_call_identity,
+			  sizeof(asked[i].identity));
 		return &asked[i];
 	}
 	return NULL;
@@ -536,6 +548,20 @@
 	return NULL;
 }
 
+/* The identity that a nested call below a dispatch has. */
+static void nested_identity(const pending_t *parent, bool idempotent,
+			    char identity[64])
+{
+	const char *last = strrchr(parent->identity, '-');
+	uint64_t place = g_ascii_strtoull(last + 1, NULL, 16);
+
+	place = dws_hash_bytes(DWS_HASH_START, &place, sizeof(place));
+	place = dws_hash_text(place, idempotent ? "look" : "take");
+	place = dws_hash_text(place, NULL);
+	g_snprintf(identity, 64, "%.*s-%" G_GINT64_MODIFIER "x",
+		   (int)(last - parent->identity), parent->identity, place);
+}
+
 static void call_nested(uint32_t which, bool idempotent)
 {
 	pending_t *pending = choose_pending(which);
@@ -547,6 +573,8 @@
 		return;
 	pending->has_nested = true;
 	request.parent_attempt = pending->attempt_id;
+	nested_identity(pending, idempotent, nested_call_identity);
+	add(open_calls, nested_call_identity, 1);
 	call(pending->node, -2, &request);
 }
 
@@ -676,6 +704,8 @@
 	memset(asked, 0, sizeof(asked));
 	memset(breaks, 0, sizeof(breaks));
 	queue_length = 0;
+	open_calls =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	executions =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	root_places =
@@ -699,6 +729,7 @@
 	}
 	for (uint32_t i = 0; i < queue_length; i++)
 		g_bytes_unref(queue[i].data);
+	g_hash_table_destroy(open_calls);
 	g_hash_table_destroy(executions);
 	g_hash_table_destroy(root_places);
 	g_hash_table_destroy(root_totals);
