Give the test daemons seeds and check a restart under a stale platform

A daemon without seeds has no peer to ask at its start, so the stale platform test waited for the version to come back instead of asking whether the daemon ever served under the old one; it now checks the version as soon as the daemon serves.

--- a/test/failure/versions.c
+++ b/test/failure/versions.c
@@ -63,7 +63,10 @@
 	site_free(site);
 }
 
-/* A replaced VM asks its peers too, so a stale platform can't set it back. */
+/*
+ * A replaced VM asks its peers too before it serves, so a stale platform
+ * can't set it back.
+ */
 static void test_stale_platform(void)
 {
 	site_vm_t *vms[2];
@@ -77,7 +80,7 @@
 	site_restart_platform(site);
 	site_kill(&vms[0]->daemon);
 	CU_ASSERT(site_start_daemon(vms[0]));
-	check_version(vms[0], 2, 2);
+	CU_ASSERT_EQUAL(site_number(vms[0], "status", "version"), 2);
 	check_version(vms[1], 2, 2);
 	site_free(site);
 }
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -218,21 +218,42 @@
 	return vm;
 }
 
+/* All other VMs, as seeds of this one. */
+static char *seeds_of(const site_vm_t *vm)
+{
+	GString *text = g_string_new(NULL);
+
+	for (guint i = 0; i < vm->site->vms->len; i++) {
+		const site_vm_t *other = g_ptr_array_index(vm->site->vms, i);
+
+		if (other != vm)
+			g_string_append_printf(text,
+					       "  - {frame: 127.0.0.1:%u, "
+					       "datagram: 127.0.0.1:%u}\n",
+					       other->frame, other->datagram);
+	}
+	if (text->len > 0)
+		g_string_prepend(text, "seeds:\n");
+	return g_string_free(text, FALSE);
+}
+
 /* Writes the settings of a VM and returns the file's name. */
 static char *write_settings(const site_vm_t *vm)
 {
 	char *file = g_strdup_printf("%s/%s.yaml", vm->site->dir, vm->id);
+	char *seeds = seeds_of(vm);
 	char *text = g_strdup_printf(
 		"vm_id: %s\nzone: %s\nregion: palermo\nservice: %s\n"
 		"callers_listen: 127.0.0.1:%u\nupstream_listen: 127.0.0.1:%u\n"
 		"admin_listen: 127.0.0.1:%u\nframe_listen: 127.0.0.1:%u\n"
 		"datagram_listen: 127.0.0.1:%u\nupstream: 127.0.0.1:%u\n"
-		"platform: 127.0.0.1:%u\nlog_file: %s\n%s",
+		"platform: 127.0.0.1:%u\nlog_file: %s\n%s%s",
 		vm->id, vm->zone, vm->service, vm->callers, vm->nested,
 		vm->admin, vm->frame, vm->datagram, vm->upstream.ports[0],
-		vm->site->platform.ports[0], vm->log, vm->settings);
+		vm->site->platform.ports[0], vm->log, seeds, vm->settings);
 
 	CU_ASSERT(g_file_set_contents(file, text, -1, NULL));
+	g_free(seeds);
 	g_free(text);
 	return file;
 }
