Describe the at-most-once faults as a table of cases

The twelve cases differed in a fault and the outcomes expected of three answers; as a table they are shorter and every case retries during and after its fault. Adds streams that break when the answer is on its way.

--- a/test/failure/once_faults.c
+++ b/test/failure/once_faults.c
@@ -4,268 +4,232 @@
  * upstreams' records of executions are the oracle.
  */
 #include <CUnit/CUnit.h>
-#include <string.h>
 
 #include "support/site.h"
 
 #define TARGET "/deposits/pay?order=1"
-#define SLOW "--fixed"
+#define FIXED "--fixed"
 #define FAST_PROBES "probe_interval_ms: 100\n"
+#define PAST_DEADLINE_US (6 * G_USEC_PER_SEC)
+#define ANY_OUTCOME ""
+#define ANY_STARTS (-1)
 
-/* The home took the request; the executor's upstream runs it. */
+/* The home takes the request; the executor's upstream runs it. */
 typedef struct scene {
 	site_t *site;
 	site_vm_t *home, *executor, *other;
 	char *ticket;
-	site_task_t *first;
 } scene_t;
 
-static void begin(scene_t *scene, const char *service_ms)
+typedef struct fault_case {
+	const char *name;
+	const char *upstream; /* behaviour of the executor's upstream */
+	void (*fault)(scene_t *scene); /* once the request runs */
+	void (*mend)(scene_t *scene); /* after its answer */
+	const char *during; /* outcome of a retry after the fault */
+	const char *first; /* outcome of the request itself */
+	const char *after; /* outcome of a retry at the end */
+	int starts; /* executions */
+} fault_case_t;
+
+static void kill_home(scene_t *scene)
 {
-	scene->site = site_new("examples/trinacria.yaml");
-	scene->home = site_add(scene->site, "home", "a", "bookings", SLOW,
-			       FAST_PROBES);
-	scene->executor = site_add(scene->site, "executor", "b", "deposits",
-				   SLOW, FAST_PROBES);
-	scene->other = site_add(scene->site, "other", "c", "assignment", SLOW,
-				FAST_PROBES);
-	CU_ASSERT_FATAL(site_start(scene->site));
-	site_upstream(scene->executor, service_ms);
-	scene->ticket = site_ticket(scene->home, TARGET);
+	site_kill(&scene->home->daemon);
 }
 
-/* Sends the request and waits until it runs. */
-static void send_first(scene_t *scene)
+static void start_home(scene_t *scene)
 {
-	int64_t deadline = 0;
-
-	scene->first = site_call_later(scene->home, "POST", TARGET,
-				       "hotel-etna", scene->ticket);
-	while (site_count(scene->site, "start", TARGET) == 0 &&
-	       site_waits(&deadline))
-		;
+	CU_ASSERT(site_start_daemon(scene->home));
 }
 
-/* Checks what an answer claims against the record of executions. */
-static void check(const scene_t *scene, http_exchange_t *answer,
-		  const char *expected)
+static void kill_executor(scene_t *scene)
 {
-	int starts = site_count(scene->site, "start", TARGET);
-
-	CU_ASSERT(starts <= 1);
-	if (site_has_outcome(answer, "not-run"))
-		CU_ASSERT_EQUAL(starts, 0);
-	if (site_has_outcome(answer, "complete"))
-		CU_ASSERT(site_is_complete(answer, TARGET) && starts == 1);
-	if (expected && !site_has_outcome(answer, expected)) {
-		printf("expected %s, got %ld %s %s\n", expected, answer->status,
-		       http_header(answer, "dogwoodshift-outcome"),
-		       http_header(answer, "dogwoodshift-reason"));
-		CU_FAIL("another outcome");
-	}
-	http_finish(answer);
+	site_kill(&scene->executor->daemon);
 }
 
-/* Retries with the same ticket through the third daemon. */
-static void retry(const scene_t *scene, const char *expected)
+static void start_executor(scene_t *scene)
 {
-	http_exchange_t answer;
-
-	site_call(&answer, scene->other, "POST", TARGET, "hotel-etna",
-		  scene->ticket);
-	check(scene, &answer, expected);
+	CU_ASSERT(site_start_daemon(scene->executor));
 }
 
-static void join_first(scene_t *scene, const char *expected)
+static void kill_upstream(scene_t *scene)
 {
-	http_exchange_t answer;
-
-	site_join(scene->first, &answer);
-	check(scene, &answer, expected);
+	site_kill(&scene->executor->upstream);
 }
 
-static void end(scene_t *scene, int expected_starts)
+static void start_upstream(scene_t *scene)
 {
-	CU_ASSERT_EQUAL(site_count(scene->site, "start", TARGET),
-			expected_starts);
-	g_free(scene->ticket);
-	site_free(scene->site);
+	site_start_upstream(scene->executor, FIXED);
 }
 
-/* Both retries, one during the run, get the answer of the one execution. */
-static void test_retries_join(void)
+static void close_no_more(scene_t *scene)
 {
-	scene_t scene;
-
-	begin(&scene, "service_ms=500");
-	send_first(&scene);
-	retry(&scene, "complete");
-	join_first(&scene, "complete");
-	retry(&scene, "complete");
-	end(&scene, 1);
+	site_upstream(scene->executor, "close=none");
 }
 
-static void test_home_killed(void)
+/* Stops a daemon until the deadline of the request is over. */
+static void oversleep(site_vm_t *vm)
 {
-	scene_t scene;
-
-	begin(&scene, "service_ms=500");
-	send_first(&scene);
-	site_kill(&scene.home->daemon);
-	join_first(&scene, NULL);
-	retry(&scene, "unknown");
-	CU_ASSERT(site_start_daemon(scene.home));
-	retry(&scene, "unknown");
-	end(&scene, 1);
+	site_pause(&vm->daemon);
+	g_usleep(PAST_DEADLINE_US);
+	site_continue(&vm->daemon);
+	CU_ASSERT(site_wait_ready(vm));
 }
 
-static void test_executor_killed(void)
+static void oversleep_home(scene_t *scene)
 {
-	scene_t scene;
-
-	begin(&scene, "service_ms=500");
-	send_first(&scene);
-	site_kill(&scene.executor->daemon);
-	join_first(&scene, "unknown");
-	CU_ASSERT(site_start_daemon(scene.executor));
-	retry(&scene, "unknown");
-	end(&scene, 1);
+	oversleep(scene->home);
 }
 
-static void test_upstream_killed(void)
+static void oversleep_executor(scene_t *scene)
 {
-	scene_t scene;
-
-	begin(&scene, "service_ms=500");
-	send_first(&scene);
-	site_kill(&scene.executor->upstream);
-	join_first(&scene, "unknown");
-	site_start_upstream(scene.executor, SLOW);
-	retry(&scene, "unknown");
-	end(&scene, 1);
+	oversleep(scene->executor);
 }
 
-/* The upstream drops the connection after it ran the request. */
-static void test_answer_dropped(void)
+static void break_streams(scene_t *scene)
 {
-	scene_t scene;
-
-	begin(&scene, "service_ms=200&close=after");
-	send_first(&scene);
-	join_first(&scene, "unknown");
-	site_upstream(scene.executor, "close=none");
-	retry(&scene, "unknown");
-	end(&scene, 1);
+	site_break_streams(scene->home);
 }
 
-/* The upstream drops the connection before it runs anything. */
-static void test_request_dropped(void)
+/* Breaks the streams when the answer is on its way or has arrived. */
+static void break_streams_late(scene_t *scene)
 {
-	scene_t scene;
+	int64_t deadline = 0;
 
-	begin(&scene, "service_ms=20&close=before");
-	scene.first = site_call_later(scene.home, "POST", TARGET, "hotel-etna",
-				      scene.ticket);
-	join_first(&scene, "unknown");
-	site_upstream(scene.executor, "close=none");
-	retry(&scene, "unknown");
-	end(&scene, 0);
+	while (site_count(scene->site, "finish", TARGET) == 0 &&
+	       site_waits(&deadline))
+		;
+	site_break_streams(scene->home);
 }
 
-/* Sleeps past the deadline, wakes, and must not run anything again. */
-static void pause_past_deadline(scene_t *scene, site_process_t *process)
+static void part(scene_t *scene)
 {
-	send_first(scene);
-	site_pause(process);
-	g_usleep(6 * G_USEC_PER_SEC);
-	site_continue(process);
-	join_first(scene, NULL);
+	site_set_partition(scene->site, true);
 }
 
-static void test_home_paused(void)
+static void join(scene_t *scene)
 {
-	scene_t scene;
+	site_set_partition(scene->site, false);
+	CU_ASSERT(site_wait_ready(scene->home));
+}
+
+static const fault_case_t cases[] = {
+	{"retries join the one execution", "service_ms=500", NULL, NULL,
+	 "complete", "complete", "complete", 1},
+	{"home is killed", "service_ms=500", kill_home, start_home, "unknown",
+	 ANY_OUTCOME, "unknown", 1},
+	{"executor is killed", "service_ms=500", kill_executor, start_executor,
+	 "unknown", "unknown", "unknown", 1},
+	{"upstream is killed", "service_ms=500", kill_upstream, start_upstream,
+	 "unknown", "unknown", "unknown", 1},
+	{"upstream drops the answer", "service_ms=200&close=after", NULL,
+	 close_no_more, "unknown", "unknown", "unknown", 1},
+	{"upstream drops the request", "close=before", NULL, close_no_more,
+	 "unknown", "unknown", "unknown", 0},
+	{"home sleeps past the deadline", "service_ms=500", oversleep_home,
+	 NULL, ANY_OUTCOME, ANY_OUTCOME, ANY_OUTCOME, 1},
+	{"executor sleeps past the deadline", "service_ms=500",
+	 oversleep_executor, NULL, ANY_OUTCOME, ANY_OUTCOME, "complete", 1},
+	{"streams break", "service_ms=1000", break_streams, NULL, "complete",
+	 "complete", "complete", 1},
+	{"streams break late", "service_ms=200", break_streams_late, NULL,
+	 "complete", "complete", "complete", 1},
+	{"partition", "service_ms=1000", part, join, "unknown", ANY_OUTCOME,
+	 ANY_OUTCOME, 1},
+	{"partition before it runs", NULL, part, join, "unknown", ANY_OUTCOME,
+	 ANY_OUTCOME, ANY_STARTS},
+};
 
-	begin(&scene, "service_ms=500");
-	pause_past_deadline(&scene, &scene.home->daemon);
-	CU_ASSERT(site_wait_ready(scene.home));
-	retry(&scene, NULL);
-	end(&scene, 1);
+static void begin(scene_t *scene)
+{
+	scene->site = site_new("examples/trinacria.yaml");
+	scene->home = site_add(scene->site, "home", "a", "bookings", FIXED,
+			       FAST_PROBES);
+	scene->executor = site_add(scene->site, "executor", "b", "deposits",
+				   FIXED, FAST_PROBES);
+	scene->other = site_add(scene->site, "other", "c", "assignment", FIXED,
+				FAST_PROBES);
+	CU_ASSERT_FATAL(site_start(scene->site));
+	scene->ticket = site_ticket(scene->home, TARGET);
 }
 
-/* The late answer of the executor still reaches the home's record. */
-static void test_executor_paused(void)
+/* Checks what an answer claims against the record of executions. */
+static void check(const scene_t *scene, http_exchange_t *answer,
+		  const char *expected)
 {
-	scene_t scene;
+	int starts = site_count(scene->site, "start", TARGET);
 
-	begin(&scene, "service_ms=500");
-	pause_past_deadline(&scene, &scene.executor->daemon);
-	CU_ASSERT(site_wait_ready(scene.executor));
-	retry(&scene, "complete");
-	end(&scene, 1);
+	CU_ASSERT(starts <= 1);
+	if (site_has_outcome(answer, "not-run"))
+		CU_ASSERT_EQUAL(starts, 0);
+	if (site_has_outcome(answer, "complete"))
+		CU_ASSERT(site_is_complete(answer, TARGET) && starts == 1);
+	if (*expected && !site_has_outcome(answer, expected)) {
+		printf("expected %s, got %ld %s %s\n", expected, answer->status,
+		       http_header(answer, "dogwoodshift-outcome"),
+		       http_header(answer, "dogwoodshift-reason"));
+		CU_FAIL("another outcome");
+	}
+	http_finish(answer);
 }
 
-static void test_streams_broken_during(void)
+/* Retries with the same ticket through the third daemon. */
+static void retry(const scene_t *scene, const char *expected)
 {
-	scene_t scene;
+	http_exchange_t answer;
 
-	begin(&scene, "service_ms=1000");
-	send_first(&scene);
-	site_break_streams(scene.home);
-	join_first(&scene, "complete");
-	retry(&scene, "complete");
-	end(&scene, 1);
+	site_call(&answer, scene->other, "POST", TARGET, "hotel-etna",
+		  scene->ticket);
+	check(scene, &answer, expected);
 }
 
-static void test_parted_during(void)
+/* Sends a request, brings about the fault, and retries meanwhile and after. */
+static void run_case(const fault_case_t *fault_case)
 {
 	scene_t scene;
+	http_exchange_t answer;
+	int64_t deadline = 0;
+	bool runs_before = fault_case->starts == 1;
 
-	begin(&scene, "service_ms=1000");
-	send_first(&scene);
-	site_set_partition(scene.site, true);
-	retry(&scene, "unknown");
-	join_first(&scene, NULL);
-	site_set_partition(scene.site, false);
-	CU_ASSERT(site_wait_ready(scene.home));
-	retry(&scene, NULL);
-	end(&scene, 1);
+	begin(&scene);
+	if (fault_case->upstream)
+		site_upstream(scene.executor, fault_case->upstream);
+	if (fault_case->fault && !runs_before)
+		fault_case->fault(&scene);
+	site_task_t *first = site_call_later(scene.home, "POST", TARGET,
+					     "hotel-etna", scene.ticket);
+
+	while (runs_before && site_count(scene.site, "start", TARGET) == 0 &&
+	       site_waits(&deadline))
+		;
+	if (fault_case->fault && runs_before)
+		fault_case->fault(&scene);
+	retry(&scene, fault_case->during);
+	site_join(first, &answer);
+	check(&scene, &answer, fault_case->first);
+	if (fault_case->mend)
+		fault_case->mend(&scene);
+	retry(&scene, fault_case->after);
+	if (fault_case->starts != ANY_STARTS)
+		CU_ASSERT_EQUAL(site_count(scene.site, "start", TARGET),
+				fault_case->starts);
+	g_free(scene.ticket);
+	site_free(scene.site);
 }
 
-static void test_parted_before(void)
+/* CUnit's tests take no arguments: each runs the case after the last one. */
+static void run_next_case(void)
 {
-	scene_t scene;
-	http_exchange_t answer;
+	static size_t next;
 
-	begin(&scene, "service_ms=20");
-	site_set_partition(scene.site, true);
-	retry(&scene, "unknown");
-	site_call(&answer, scene.home, "POST", TARGET, "hotel-etna",
-		  scene.ticket);
-	check(&scene, &answer, NULL);
-	site_set_partition(scene.site, false);
-	CU_ASSERT(site_wait_ready(scene.home));
-	retry(&scene, NULL);
-	CU_ASSERT(site_count(scene.site, "start", TARGET) <= 1);
-	end(&scene, site_count(scene.site, "start", TARGET));
+	run_case(&cases[next++]);
 }
 
 int main(void)
 {
-	static const site_test_t tests[] = {
-		{"retries join the one execution", test_retries_join},
-		{"home is killed", test_home_killed},
-		{"executor is killed", test_executor_killed},
-		{"upstream is killed", test_upstream_killed},
-		{"upstream drops the answer", test_answer_dropped},
-		{"upstream drops the request", test_request_dropped},
-		{"home sleeps past the deadline", test_home_paused},
-		{"executor sleeps past the deadline", test_executor_paused},
-		{"streams break", test_streams_broken_during},
-		{"partition while it runs", test_parted_during},
-		{"partition before it runs", test_parted_before},
-		{NULL, NULL},
-	};
+	site_test_t tests[G_N_ELEMENTS(cases) + 1] = {{NULL, NULL}};
 
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		tests[i] = (site_test_t){cases[i].name, run_next_case};
 	return site_main("at most once", tests);
 }
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -368,9 +368,10 @@
 	return value;
 }
 
-/* Sends a request as a customer; see the header. */
-void site_call(http_exchange_t *answer, const site_vm_t *vm, const char *method,
-	       const char *target, const char *customer, const char *ticket)
+/* Prepares a request of a customer. */
+static void prepare(http_exchange_t *exchange, const site_vm_t *vm,
+		    const char *method, const char *target,
+		    const char *customer, const char *ticket)
 {
 	char *url =
 		g_strdup_printf("http://127.0.0.1:%u%s", vm->callers, target);
@@ -379,45 +380,41 @@
 				      ticket ? ticket : "");
 	const char *const headers[] = {who, ticket ? which : NULL, NULL};
 
-	http_init(answer, method, url, "order", CALL_TIMEOUT_MS, headers);
-	http_run(answer);
+	http_init(exchange, method, url, "order", CALL_TIMEOUT_MS, headers);
 	g_free(url);
 	g_free(who);
 	g_free(which);
 }
 
+/* Sends a request and waits for its answer. */
+void site_call(http_exchange_t *answer, const site_vm_t *vm, const char *method,
+	       const char *target, const char *customer, const char *ticket)
+{
+	prepare(answer, vm, method, target, customer, ticket);
+	http_run(answer);
+}
+
 struct site_task {
 	GThread *thread;
-	http_exchange_t answer;
-	const site_vm_t *vm;
-	char *method;
-	char *target;
-	char *customer;
-	char *ticket;
+	http_exchange_t *exchange;
 };
 
-static gpointer run_task(gpointer data)
+static gpointer run_exchange(gpointer exchange)
 {
-	site_task_t *task = data;
-
-	site_call(&task->answer, task->vm, task->method, task->target,
-		  task->customer, task->ticket);
+	http_run(exchange);
 	return NULL;
 }
 
-/* Starts a request on a thread of its own. */
+/* Sends a request on a thread of its own. */
 site_task_t *site_call_later(const site_vm_t *vm, const char *method,
 			     const char *target, const char *customer,
 			     const char *ticket)
 {
 	site_task_t *task = g_new0(site_task_t, 1);
 
-	task->vm = vm;
-	task->method = g_strdup(method);
-	task->target = g_strdup(target);
-	task->customer = g_strdup(customer);
-	task->ticket = g_strdup(ticket);
-	task->thread = g_thread_new("call", run_task, task);
+	task->exchange = g_new0(http_exchange_t, 1);
+	prepare(task->exchange, vm, method, target, customer, ticket);
+	task->thread = g_thread_new("call", run_exchange, task->exchange);
 	return task;
 }
 
@@ -425,11 +422,8 @@
 void site_join(site_task_t *task, http_exchange_t *answer)
 {
 	g_thread_join(task->thread);
-	*answer = task->answer;
-	g_free(task->method);
-	g_free(task->target);
-	g_free(task->customer);
-	g_free(task->ticket);
+	*answer = *task->exchange;
+	g_free(task->exchange);
 	g_free(task);
 }
 
