--- a/src/connection/http_client_io.c
+++ b/src/connection/http_client_io.c
@@ -11,6 +11,8 @@
 #include "version/config.h"
 
 #define CONNECT_TIMEOUT_MS 1000L
+/* Non-idempotent work runs on after its deadline; its answer is of use. */
+#define LATE_ANSWER_MS 30000
 /* Beyond the time that the platform was asked to wait. */
 #define PLATFORM_EXTRA_MS 2000
 #define PLATFORM_SLACK_BYTES (64 * 1024)
@@ -351,8 +353,13 @@
 	g_hash_table_insert(client->dispatches, &transfer->attempt_id,
 			    transfer);
 	set_headers(transfer, dispatch, remaining_ms);
-	set_common(transfer, &client->upstream, dispatch->path, remaining_ms);
+	set_common(transfer, &client->upstream, dispatch->path,
+		   dispatch->idempotent ? remaining_ms
+					: remaining_ms + LATE_ANSWER_MS);
 	set_request(transfer, dispatch);
+	/* Nothing is sent after the deadline. */
+	curl_easy_setopt(transfer->easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)MIN(CONNECT_TIMEOUT_MS, remaining_ms));
 	if (!dispatch->idempotent) {
 		curl_easy_setopt(transfer->easy, CURLOPT_FRESH_CONNECT, 1L);
 		curl_easy_setopt(transfer->easy, CURLOPT_FORBID_REUSE, 1L);
@@ -551,8 +558,8 @@
 /* Breaks off all transfers and closes all connections. */
 void dws_http_client_finish(dws_http_client_t *client)
 {
-	while (client->transfers->len)
-		free_transfer(g_ptr_array_index(client->transfers, 0));
+	for (guint left = client->transfers->len; left > 0; left--)
+		free_transfer(g_ptr_array_index(client->transfers, left - 1));
 	for (guint i = 0; i < client->idle->len; i++)
 		curl_easy_cleanup(g_ptr_array_index(client->idle, i));
 	curl_multi_cleanup(client->multi);
