Let the upstreams' record be the only list of executions

The list over HTTP held the same as the record file, had no reader, and kept every execution in memory for the whole load. Executions are freed now.

--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -3,7 +3,6 @@
  * service time, nested calls, and a record of every execution.
  */
 #include <math.h>
-#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -49,7 +48,6 @@
 	close_mode_t close;
 	int64_t running;
 	GQueue waiting; /* job_t * */
-	GPtrArray *jobs; /* all that were started */
 } upstream_t;
 
 /* One request and its execution. */
@@ -61,8 +59,6 @@
 	char *identity;
 	char *call;
 	char *customer;
-	int64_t started_us; /* 0 while it waits */
-	bool finished;
 	ev_timer timer;
 	char **calls; /* nested, NULL if none */
 	guint next_call;
@@ -80,6 +76,9 @@
 	g_free(job->identity);
 	g_free(job->call);
 	g_free(job->customer);
+	g_strfreev(job->calls);
+	if (job->statuses)
+		g_string_free(job->statuses, TRUE);
 	g_free(job);
 }
 
@@ -101,7 +100,6 @@
 	upstream_t *upstream = job->upstream;
 	bench_t *bench = upstream->bench;
 
-	job->finished = true;
 	record(job, "finish");
 	if (job->request && upstream->close == CLOSE_AFTER) {
 		server_drop(job->request);
@@ -114,9 +112,7 @@
 			      "Content-Type", "text/plain");
 		g_free(body);
 	}
-	job->request = NULL;
-	g_string_free(job->statuses, TRUE);
-	g_strfreev(job->calls);
+	job_free(job);
 	upstream->running--;
 	start_waiting(upstream);
 }
@@ -215,10 +211,8 @@
 	upstream_t *upstream = job->upstream;
 
 	upstream->running++;
-	job->started_us = program_now_us();
 	job->statuses = g_string_new(NULL);
 	job->calls = nested_calls(job);
-	g_ptr_array_add(upstream->jobs, job);
 	record(job, "start");
 	ev_timer_init(&job->timer, on_served, service_time_s(upstream), 0.0);
 	job->timer.data = job;
@@ -266,23 +260,6 @@
 	start_waiting(upstream);
 }
 
-/* One line per execution: identity call path customer started_ms finished. */
-static void list_executions(upstream_t *upstream, server_request_t *request)
-{
-	GString *text = g_string_new(NULL);
-
-	for (guint i = 0; i < upstream->jobs->len; i++) {
-		const job_t *job = g_ptr_array_index(upstream->jobs, i);
-
-		g_string_append_printf(text, "%s %s %s %s %" PRId64 " %d\n",
-				       job->identity, job->call, job->target,
-				       job->customer, job->started_us / 1000,
-				       job->finished);
-	}
-	server_answer(request, 200, text->str, NULL, NULL);
-	g_string_free(text, TRUE);
-}
-
 /* Changes the behaviour of one upstream while it runs. */
 static void control(upstream_t *upstream, server_request_t *request)
 {
@@ -306,9 +283,7 @@
 {
 	upstream_t *upstream = context;
 
-	if (strcmp(request->path, "/control/executions") == 0)
-		list_executions(upstream, request);
-	else if (strcmp(request->path, "/control") == 0)
+	if (strcmp(request->path, "/control") == 0)
 		control(upstream, request);
 	else
 		serve(upstream, request);
@@ -327,6 +302,7 @@
 	} else if (ev_is_active(&job->timer)) {
 		ev_timer_stop(upstream->bench->loop, &job->timer);
 		record(job, "cancel");
+		job_free(job);
 		upstream->running--;
 		start_waiting(upstream);
 	}
@@ -344,7 +320,6 @@
 	upstream->slots = program_number(spec, "slots", 55);
 	upstream->service_ms = (double)program_number(spec, "service_ms", 20);
 	upstream->queue_bound = program_number(spec, "queue", 1000);
-	upstream->jobs = g_ptr_array_new();
 	g_queue_init(&upstream->waiting);
 	server_start(&upstream->server, bench->loop, (uint16_t)port, &ops,
 		     upstream);
