--- a/src/version/fold.h
+++ b/src/version/fold.h
@@ -39,7 +39,7 @@
 	bool changed; /* a new version is in force */
 	bool gap; /* entries are missing between ours and theirs */
 	bool older; /* the log ends before our sequence; nothing was taken */
-	bool conflict; /* equal sequence, different digest; ours is kept */
+	bool conflict; /* it contradicts what we have read; ours is kept */
 } dws_fold_result_t;
 
 dws_fold_t *dws_fold_new(void); /* freed by dws_fold_free() */
@@ -48,7 +48,7 @@
 /*
  * Takes what is new in a log. False if it is malformed or too large: then
  * nothing of it was taken. A snapshot is taken only if its sequence is above
- * ours.
+ * ours, and its version is ours or one that we have not read.
  */
 bool dws_fold_offer(dws_fold_t *fold, const char *text, size_t size_bytes,
 		    dws_fold_result_t *result, GError **error);
