Serve the newest of a kind first while its oldest wait too long

Cause: when more of a kind arrives than can run, first-in-first-out runs every request just before its time is over, and what is sent after a surge waits behind the surge's leftover until that has expired. What: once the oldest of a kind has waited an eighth of its time, the newest leaves first and the oldest is displaced; a full queue takes a new request of such a kind in place of its oldest. Shares between kinds stay as they were. Ruled out: dropping by a target delay, which would refuse browsing that may wait for seconds while it still can be served.

--- a/src/request/queue.c
+++ b/src/request/queue.c
@@ -4,6 +4,12 @@
  * "Start-time Fair Queuing", SIGCOMM 1996). Every item counts as one unit of
  * work, so a kind's start tag advances by the inverse of its worth with each
  * item that leaves to run. Items that leave otherwise are not charged.
+ *
+ * Inside a kind the oldest leaves first, until the oldest has waited for a
+ * good part of its time: then more arrives than can run, the oldest would
+ * only just miss their deadlines, and the newest leave first (adaptive LIFO:
+ * Maurer, "Fail at Scale", ACM Queue 2015). What is sent after a surge is so
+ * served at once, while the surge's leftover expires.
  */
 #include "request/queue.h"
 
@@ -18,6 +24,9 @@
  */
 #define TAG_UNIT (UINT64_C(1) << 24)
 
+/* Part of an item's time after which newer ones go before it. */
+#define PATIENCE_DIVISOR 8
+
 /* Most kinds of one priority that are remembered while none of it waits. */
 #define MAX_IDLE_FLOWS 256
 
@@ -132,6 +141,43 @@
 	return g_ptr_array_index(level->flows, index);
 }
 
+/*
+ * Tells whether the oldest of a kind has waited for too long. The newest stands
+ * for the present time, as it arrived a short time ago in an overload.
+ */
+static bool is_overloaded(const dws_flow_t *flow)
+{
+	const dws_entry_t *oldest;
+	const dws_entry_t *newest;
+	int64_t time_us;
+
+	if (flow->entries.length == 0)
+		return false;
+	oldest = flow->entries.head->data;
+	newest = flow->entries.tail->data;
+	time_us = latest_start_us(&oldest->item) - oldest->item.enqueued_us;
+	return newest->item.enqueued_us - oldest->item.enqueued_us >
+	       time_us / PATIENCE_DIVISOR;
+}
+
+/* The item of a kind that is to run next; it has one. */
+static dws_entry_t *next_of_flow(const dws_flow_t *flow)
+{
+	const GList *link =
+		is_overloaded(flow) ? flow->entries.tail : flow->entries.head;
+
+	return link->data;
+}
+
+/* The item of a kind that has to leave a full queue; it has one. */
+static dws_entry_t *last_of_flow(const dws_flow_t *flow)
+{
+	const GList *link =
+		is_overloaded(flow) ? flow->entries.head : flow->entries.tail;
+
+	return link->data;
+}
+
 static dws_flow_t *find_flow(const dws_level_t *level, uint32_t kind)
 {
 	for (guint i = 0; level->flows && i < level->flows->len; i++) {
@@ -268,17 +314,20 @@
 	int lowest = lowest_priority(queue);
 	bool is_rival = arrival->priority == lowest;
 	const dws_flow_t *flow;
-	dws_entry_t *newest;
+	dws_entry_t *last;
 
 	if (lowest < 0 || arrival->priority < lowest)
 		return false;
 	flow = find_displaced_flow(&queue->levels[lowest],
 				   is_rival ? arrival : NULL);
-	if (!flow)
-		return false;
-	newest = flow->entries.tail->data;
-	*displaced = newest->item.id;
-	take_entry(queue, newest, NULL);
+	if (!flow) {
+		flow = find_flow(&queue->levels[lowest], arrival->kind);
+		if (!flow || !is_overloaded(flow))
+			return false;
+	}
+	last = last_of_flow(flow);
+	*displaced = last->item.id;
+	take_entry(queue, last, NULL);
 	return true;
 }
 
@@ -311,15 +360,15 @@
 	level = &queue->levels[priority];
 	for (guint i = 0; i < level->flows->len; i++) {
 		const dws_flow_t *flow = flow_at(level, i);
-		dws_entry_t *head;
+		dws_entry_t *next;
 
 		if (flow->entries.length == 0)
 			continue;
-		head = flow->entries.head->data;
+		next = next_of_flow(flow);
 		if (!best || flow->start_tag < best->flow->start_tag ||
 		    (flow->start_tag == best->flow->start_tag &&
-		     head->sequence < best->sequence))
-			best = head;
+		     next->sequence < best->sequence))
+			best = next;
 	}
 	return best;
 }
--- a/src/request/queue.h
+++ b/src/request/queue.h
@@ -3,7 +3,9 @@
  * among kinds of one priority, each leaves in proportion to its worth. When
  * full, a more urgent arrival displaces the least urgent item. Within a
  * priority, an arrival of a kind that holds less than its share displaces
- * the newest item of the kind that is most above its own.
+ * an item of the kind that is most above its own. Inside a kind the oldest
+ * leaves first and the newest is displaced; it is the other way round while
+ * the oldest has waited for a good part of its time.
  */
 #ifndef DWS_REQUEST_QUEUE_H
 #define DWS_REQUEST_QUEUE_H
