Ask peers for little more work than soon can run

Callers' daemons sent all they held whenever one place was free; what did not fit was displaced, sent back and sent again. What: the threshold is the lowest priority before which fewer than two rounds of the limit wait. More urgent work is asked for as before.

--- a/src/request/admission.c
+++ b/src/request/admission.c
@@ -15,6 +15,9 @@
 /* A request may wait for this share of its time, whatever it needs. */
 #define LEAST_WAIT_SHARE 0.5
 
+/* Requests that are asked for beyond the limit, in parts of the limit. */
+#define ROUNDS_QUEUED 2
+
 /* Most kinds with an estimate; all are forgotten beyond that. */
 #define MAX_ESTIMATES 1024
 
@@ -42,8 +45,9 @@
 	if (!dws_limit_init(&admission->limit, policy, slots))
 		dws_limit_init(&admission->limit, "adaptive", slots);
 	admission->unlimited = strcmp(policy, "none") == 0;
-	admission->queue = dws_queue_new(admission->unlimited ? UINT32_MAX
-							      : queue_capacity);
+	admission->queue_capacity =
+		admission->unlimited ? UINT32_MAX : queue_capacity;
+	admission->queue = dws_queue_new(admission->queue_capacity);
 	admission->running = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						   NULL, g_free);
 	admission->estimates = g_hash_table_new_full(NULL, NULL, NULL, g_free);
@@ -174,13 +178,22 @@
 	return dws_queue_remove(admission->queue, id);
 }
 
-/* Describes the load for peers. */
+/*
+ * Describes the load for peers. Work is asked for as long as what runs before
+ * it takes little more time than the news of it; the rest waits better at the
+ * callers' daemons, which can send it elsewhere.
+ */
 void dws_admission_load(const dws_admission_t *admission, dws_load_t *load)
 {
-	load->threshold = dws_queue_threshold(admission->queue);
+	uint32_t limit = dws_limit_current(&admission->limit);
+	uint32_t room =
+		admission->unlimited ? UINT32_MAX : limit * ROUNDS_QUEUED;
+
+	load->threshold = dws_queue_threshold(
+		admission->queue, MIN(room, admission->queue_capacity));
 	load->running = g_hash_table_size(admission->running);
 	load->queued = dws_queue_length(admission->queue);
-	load->limit = dws_limit_current(&admission->limit);
+	load->limit = limit;
 }
 
 /* When a queued request runs out of time next, in us, or DWS_NEVER_US. */
--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -10,6 +10,7 @@
 typedef struct dws_admission {
 	dws_limit_t limit;
 	dws_queue_t *queue;
+	uint32_t queue_capacity;
 	GHashTable *running; /* id to its state */
 	GHashTable *estimates; /* kind to its expected time */
 	bool unlimited; /* policy "none": no queue and no refusal */
@@ -17,7 +18,7 @@
 
 /* What peers are told with each answer. */
 typedef struct dws_load {
-	uint8_t threshold; /* lowest priority that is admitted now */
+	uint8_t threshold; /* lowest priority that is asked for now */
 	uint32_t running;
 	uint32_t queued;
 	uint32_t limit;
--- a/src/request/queue.c
+++ b/src/request/queue.c
@@ -447,16 +447,17 @@
 }
 
 /*
- * The lowest priority of which any push is accepted now: 0 while there is
- * room, else the one above the least urgent that waits. Work of that least
- * urgent priority itself depends on the shares of its kinds. At most
- * UINT8_MAX.
+ * The lowest priority before which fewer items than room would run, at most
+ * UINT8_MAX: all that wait with the same or a higher priority count.
  */
-uint8_t dws_queue_threshold(const dws_queue_t *queue)
+uint8_t dws_queue_threshold(const dws_queue_t *queue, uint32_t room)
 {
-	int lowest = lowest_priority(queue);
+	uint32_t ahead = 0;
 
-	if (dws_queue_length(queue) < queue->capacity || lowest < 0)
-		return 0;
-	return (uint8_t)MIN(lowest + 1, UINT8_MAX);
+	for (int priority = PRIORITY_COUNT - 1; priority >= 0; priority--) {
+		ahead += queue->levels[priority].length;
+		if (ahead >= room)
+			return (uint8_t)MIN(priority + 1, UINT8_MAX);
+	}
+	return 0;
 }
--- a/src/request/queue.h
+++ b/src/request/queue.h
@@ -47,7 +47,10 @@
 uint32_t dws_queue_length(const dws_queue_t *queue);
 /* Earliest of the latest starts, or DWS_NEVER_US. */
 int64_t dws_queue_next_deadline_us(const dws_queue_t *queue);
-/* The lowest priority of which any push is accepted now. */
-uint8_t dws_queue_threshold(const dws_queue_t *queue);
+/*
+ * The lowest priority before which fewer than so many items would run. With
+ * the capacity for room, it is the lowest of which any push is accepted.
+ */
+uint8_t dws_queue_threshold(const dws_queue_t *queue, uint32_t room);
 
 #endif
--- a/test/fuzz/fuzz_admission.c
+++ b/test/fuzz/fuzz_admission.c
@@ -71,6 +71,22 @@
 	return request;
 }
 
+/* So many of its priority or above wait at the threshold, and more below. */
+static void check_threshold(const oracle_t *oracle, uint8_t threshold,
+			    uint32_t room)
+{
+	uint32_t ahead[PRIORITIES + 1] = {0};
+
+	for (uint32_t i = 0; i < oracle->count; i++) {
+		if (oracle->requests[i].state != STATE_QUEUED)
+			continue;
+		for (int p = oracle->requests[i].item.priority; p >= 0; p--)
+			ahead[p]++;
+	}
+	require(threshold <= PRIORITIES && ahead[threshold] < room);
+	require(threshold == 0 || ahead[threshold - 1] >= room);
+}
+
 static void check_load(const dws_admission_t *admission, const oracle_t *oracle)
 {
 	dws_load_t load;
@@ -80,10 +96,9 @@
 	require(load.running == count_state(oracle, STATE_RUNNING));
 	require(load.limit >= 1);
 	require(oracle->unlimited || load.limit <= SLOTS);
-	if (oracle->unlimited || load.queued < CAPACITY)
-		require(load.threshold == 0);
-	else
-		require(load.threshold == lowest_queued(oracle) + 1);
+	check_threshold(oracle, load.threshold,
+			oracle->unlimited ? UINT32_MAX
+					  : MIN(2 * load.limit, CAPACITY));
 }
 
 static void offer(dws_admission_t *admission, oracle_t *oracle, uint8_t a,
--- a/test/fuzz/fuzz_queue.c
+++ b/test/fuzz/fuzz_queue.c
@@ -134,7 +134,7 @@
 		.deadline_us = oracle->now_us + b,
 		.needed_us = a >> 6,
 	};
-	uint8_t threshold = dws_queue_threshold(queue);
+	uint8_t threshold = dws_queue_threshold(queue, CAPACITY);
 	uint64_t displaced;
 	bool pushed = dws_queue_push(queue, &item, &displaced);
 
