--- a/src/version/document.h
+++ b/src/version/document.h
@@ -10,7 +10,7 @@
 
 #define DWS_DOCUMENT_MAX_BYTES (1024 * 1024)
 #define DWS_DOCUMENT_MAX_DEPTH 32
-#define DWS_DOCUMENT_MAX_VALUES 65536
+#define DWS_DOCUMENT_MAX_VALUES 65536 /* keys included */
 #define DWS_DOCUMENT_MAX_KEY_BYTES 128
 
 typedef enum dws_value_type {
@@ -38,6 +38,10 @@
 /* Parses one document; name stands for the file in messages. */
 dws_value_t *dws_document_parse(const char *text, size_t size_bytes,
 				const char *name, GError **error);
+/* The same with another bound on the size. */
+dws_value_t *dws_document_parse_up_to(size_t max_bytes, const char *text,
+				      size_t size_bytes, const char *name,
+				      GError **error);
 /* Text of a value with sorted keys; equal trees give equal text. */
 char *dws_document_canonical(const dws_value_t *value);
 /* A new tree: a document with a patch merged in (RFC 7396). */
@@ -54,6 +58,8 @@
 		   dws_value_t *value);
 void dws_value_append(dws_value_t *list, dws_value_t *value);
 
+/* The number of values in a tree, itself and keys included. */
+size_t dws_value_count(const dws_value_t *value);
 bool dws_value_is_null(const dws_value_t *value);
 /* The value of a key, borrowed; NULL if it is absent or this is no map. */
 dws_value_t *dws_value_get(const dws_value_t *map, const char *key);
--- /dev/null
+++ b/test/unit/test_io_http_client.c
@@ -0,0 +1,220 @@
+/*
+ * Dispatches: each reaches the upstream once whatever the connection does, an
+ * answer counts only if it is whole, and "not sent" is said only of what the
+ * upstream can't have seen.
+ */
+#include "connection/http_client_io.h"
+#include "io_loop.h"
+
+#define CLOSE "Connection: close\r\n"
+
+typedef struct case_t {
+	const char *answer; /* NULL: the connection is closed; "": silence */
+	dws_dispatch_result_t result;
+	bool idempotent;
+	bool refused;
+} case_t;
+
+static const case_t cases[] = {
+	{"200 A\r\nContent-Length: 2\r\n\r\nok", DWS_DISPATCH_ANSWERED, true,
+	 false},
+	/* libcurl would repeat this one on the connection kept from above. */
+	{NULL, DWS_DISPATCH_LOST, false, false},
+	{"200 A\r\n" CLOSE "\r\nhalf?", DWS_DISPATCH_LOST, false, false},
+	{"200 A\r\n" CLOSE "Content-Length: 9\r\n\r\nhalf", DWS_DISPATCH_LOST,
+	 false, false},
+	{"200 A\r\nContent-Length: 11\r\n\r\n12345678901", DWS_DISPATCH_LOST,
+	 false, false},
+	{"503 A\r\nContent-Length: 0\r\ndogwoodshift-outcome: NOT-RUN\r\n\r\n",
+	 DWS_DISPATCH_ANSWERED, false, true},
+	{"500 A\r\nTransfer-Encoding: chunked\r\n"
+	 "Dogwoodshift-Outcome: not-run\r\n\r\n0\r\n\r\n",
+	 DWS_DISPATCH_ANSWERED, false, false},
+	{"", DWS_DISPATCH_LOST, true, false},
+};
+
+static const char *const platform_answers[] = {
+	"200 A\r\nContent-Length: 4\r\n\r\nnews",
+	"204 A\r\n\r\n",
+	"200 A\r\n" CLOSE "\r\nhalf?",
+	"500 A\r\nContent-Length: 4\r\n\r\nnews",
+};
+
+typedef struct upstream {
+	struct ev_loop *ev;
+	dws_address_t address;
+	ev_io acceptable;
+	ev_io readable[16];
+	uint32_t connections;
+	uint32_t requests;
+	const char *answer;
+	dws_http_client_t client;
+	uint64_t ended;
+	dws_dispatch_outcome_t outcome;
+	bool platform_ok;
+	char text[16];
+} upstream_t;
+
+static void on_request(struct ev_loop *ev, ev_io *watcher, int events)
+{
+	upstream_t *upstream = watcher->data;
+	char part[2000];
+	ssize_t got = recv(watcher->fd, part, sizeof(part), MSG_DONTWAIT);
+	const char *answer = upstream->answer;
+
+	if (got > 0) {
+		upstream->requests++;
+		if (answer && answer[0]) {
+			io_send_text(watcher->fd, "HTTP/1.1 ");
+			io_send_text(watcher->fd, answer);
+		}
+		if (answer && !strstr(answer, CLOSE))
+			return;
+	}
+	ev_io_stop(ev, watcher);
+	close(watcher->fd);
+}
+
+static void on_accept(struct ev_loop *ev, ev_io *watcher, int events)
+{
+	upstream_t *upstream = watcher->data;
+	ev_io *readable = &upstream->readable[upstream->connections++];
+
+	ev_io_init(readable, on_request, accept(watcher->fd, NULL, NULL),
+		   EV_READ);
+	readable->data = upstream;
+	ev_io_start(ev, readable);
+}
+
+static void on_dispatched(void *context, uint64_t attempt_id,
+			  const dws_dispatch_outcome_t *outcome)
+{
+	upstream_t *upstream = context;
+
+	upstream->outcome = *outcome;
+	upstream->ended++;
+}
+
+static void on_platform(void *context, dws_platform_item_t item, bool ok,
+			const char *text, size_t size_bytes)
+{
+	upstream_t *upstream = context;
+
+	upstream->platform_ok = ok;
+	g_strlcpy(upstream->text, text ? text : "", sizeof(upstream->text));
+	upstream->ended++;
+}
+
+static const dws_http_client_ops_t ops = {on_dispatched, on_platform};
+
+static void start(upstream_t *upstream)
+{
+	dws_settings_t settings = {.max_body_bytes = 10};
+
+	memset(upstream, 0, sizeof(*upstream));
+	upstream->ev = ev_loop_new(0);
+	g_strlcpy(upstream->address.ip, "127.0.0.1", 46);
+	int fd = dws_address_bind(&upstream->address, SOCK_STREAM, NULL);
+
+	ev_io_init(&upstream->acceptable, on_accept, fd, EV_READ);
+	upstream->acceptable.data = upstream;
+	ev_io_start(upstream->ev, &upstream->acceptable);
+	settings.upstream = upstream->address;
+	settings.platform = upstream->address;
+	CU_ASSERT_TRUE_FATAL(dws_http_client_init(&upstream->client, &ops,
+						  upstream, upstream->ev,
+						  &settings, NULL));
+}
+
+static void stop(upstream_t *upstream)
+{
+	dws_http_client_finish(&upstream->client);
+	for (uint32_t i = 0; i < upstream->connections; i++) {
+		if (ev_is_active(&upstream->readable[i]))
+			close(upstream->readable[i].fd);
+	}
+	if (ev_is_active(&upstream->acceptable))
+		close(upstream->acceptable.fd);
+	ev_loop_destroy(upstream->ev);
+}
+
+/* Dispatches and returns how it ended. */
+static dws_dispatch_result_t dispatch(upstream_t *upstream, bool idempotent,
+				      int64_t timeout_us)
+{
+	const dws_dispatch_t work = {
+		.attempt_id = 7,
+		.method = "POST",
+		.path = "/deposits/a/../b?c#d",
+		.body = (const uint8_t *)"body",
+		.body_size_bytes = 4,
+		.deadline_us = timeout_us,
+		.idempotent = idempotent,
+	};
+
+	upstream->ended = 0;
+	dws_http_client_dispatch(&upstream->client, 0, &work);
+	CU_ASSERT_EQUAL(upstream->ended, 0);
+	CU_ASSERT_TRUE(io_wait(upstream->ev, &upstream->ended, 1));
+	return upstream->outcome.result;
+}
+
+static void test_dispatch(void)
+{
+	upstream_t upstream;
+
+	start(&upstream);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		bool is_silent = cases[i].answer && !cases[i].answer[0];
+		int64_t timeout_us = DWS_US_PER_S * (is_silent ? 1 : 20);
+
+		upstream.answer = cases[i].answer;
+		CU_ASSERT_EQUAL(
+			dispatch(&upstream, cases[i].idempotent, timeout_us),
+			cases[i].result);
+		CU_ASSERT_EQUAL(upstream.outcome.refused, cases[i].refused);
+		CU_ASSERT_EQUAL(upstream.requests, i + 1);
+	}
+	stop(&upstream);
+}
+
+static void test_not_sent(void)
+{
+	upstream_t upstream;
+
+	start(&upstream);
+	CU_ASSERT_EQUAL(dispatch(&upstream, false, 0), DWS_DISPATCH_NOT_SENT);
+	ev_io_stop(upstream.ev, &upstream.acceptable);
+	close(upstream.acceptable.fd);
+	CU_ASSERT_EQUAL(dispatch(&upstream, false, DWS_US_PER_S * 20),
+			DWS_DISPATCH_NOT_SENT);
+	stop(&upstream);
+}
+
+static void test_platform(void)
+{
+	upstream_t upstream;
+
+	start(&upstream);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(platform_answers); i++) {
+		upstream.answer = platform_answers[i];
+		dws_http_client_read(&upstream.client, DWS_PLATFORM_CONFIG, 3,
+				     IO_LIMIT_S * 1000);
+		CU_ASSERT_TRUE(io_wait(upstream.ev, &upstream.ended, i + 1));
+		CU_ASSERT_EQUAL(upstream.platform_ok, i < 2);
+		CU_ASSERT_STRING_EQUAL(upstream.text, i == 0 ? "news" : "");
+	}
+	stop(&upstream);
+}
+
+int main(void)
+{
+	CU_TestInfo tests[] = {
+		{"dispatch", test_dispatch},
+		{"not sent", test_not_sent},
+		{"platform", test_platform},
+		CU_TEST_INFO_NULL,
+	};
+
+	return io_run_tests("HTTP client", tests);
+}
--- /dev/null
+++ b/test/unit/test_membership.c
@@ -0,0 +1,347 @@
+/*
+ * Membership: joining, failure, pauses, leaving, replacement, partitions, the
+ * platform's list, hostile datagrams and the cost of it all, on a clock of
+ * the test.
+ */
+#include <CUnit/Basic.h>
+#include <string.h>
+#include "support/membership_fleet.h"
+
+#define WALL_MS 1000000
+#define S DWS_US_PER_S
+
+static fleet_t *start_fleet(guint count, guint zones, bool listed)
+{
+	fleet_t *fleet = fleet_new(count, zones);
+
+	for (guint i = 0; i < count; i++)
+		fleet_start(fleet, i, WALL_MS);
+	if (listed)
+		fleet_offer_list(fleet, 1);
+	return fleet;
+}
+
+/* Runs until every running process sees all of the given number alive. */
+static bool await_all(fleet_t *fleet, guint running)
+{
+	for (guint i = 0; i < fleet->nodes->len; i++) {
+		if (fleet_node(fleet, i)->membership &&
+		    !fleet_await(fleet, i, DWS_MEMBER_ALIVE, running, 120 * S))
+			return false;
+	}
+	return true;
+}
+
+/* Ends a test; reports must have kept to the order of claims. */
+static void finish(fleet_t *fleet)
+{
+	CU_ASSERT_EQUAL(fleet->order_faults, 0);
+	fleet_free(fleet);
+}
+
+static void test_joins_fails_and_returns_despite_losses(void)
+{
+	fleet_t *fleet = start_fleet(20, 3, false);
+
+	fleet->drop_percent = 10;
+	CU_ASSERT(await_all(fleet, 20));
+	fleet_stop(fleet, 7);
+	CU_ASSERT(fleet_await(fleet, 7, DWS_MEMBER_DEAD, 19, 60 * S));
+	fleet_start(fleet, 7, WALL_MS + 50000);
+	CU_ASSERT(await_all(fleet, 20));
+	finish(fleet);
+}
+
+static void test_paused_process_blames_nobody_and_refutes(void)
+{
+	fleet_t *fleet = start_fleet(12, 3, true);
+	fleet_node_t *paused = fleet_node(fleet, 5);
+
+	CU_ASSERT(await_all(fleet, 12));
+	fleet_run(fleet, 25 * S);
+	/* It falls asleep while it waits for an answer. */
+	uint64_t sent = paused->datagrams;
+	int64_t tick_us = paused->next_tick_us;
+
+	while (paused->next_tick_us == tick_us || paused->datagrams == sent)
+		fleet_run(fleet, fleet->step_us);
+	paused->paused = true;
+	CU_ASSERT(fleet_await(fleet, 5, DWS_MEMBER_SUSPECT, 11, 20 * S));
+	paused->paused = false;
+	fleet_run(fleet, 20 * S);
+	CU_ASSERT(await_all(fleet, 12));
+	for (guint i = 0; i < 12; i++) {
+		const dws_member_t *self =
+			dws_membership_self(fleet_node(fleet, i)->membership);
+
+		CU_ASSERT_EQUAL(self->incarnation > WALL_MS, i == 5);
+	}
+	finish(fleet);
+}
+
+static void test_leaving_is_known_to_all_within_two_seconds(void)
+{
+	for (guint leaver = 0; leaver < 10; leaver++) {
+		fleet_t *fleet = start_fleet(100, 9, true);
+
+		CU_ASSERT(await_all(fleet, 100));
+		fleet_run(fleet, 25 * S);
+		dws_membership_leave(fleet_node(fleet, leaver)->membership,
+				     fleet->now_us);
+		CU_ASSERT(fleet_await(fleet, leaver, DWS_MEMBER_LEAVING, 100,
+				      2 * S));
+		fleet_stop(fleet, leaver);
+		CU_ASSERT(fleet_await(fleet, leaver, DWS_MEMBER_DEAD, 99,
+				      60 * S));
+		finish(fleet);
+	}
+}
+
+static void test_new_process_takes_a_vm_id_over(void)
+{
+	/* The clock of the new process may be ahead or behind. */
+	for (int behind = 0; behind < 2; behind++) {
+		fleet_t *fleet = fleet_new(6, 2);
+		fleet_node_t *second = fleet_node(fleet, 5);
+
+		g_strlcpy(second->settings.vm_id, "vm-0", DWS_ID_SIZE);
+		second->settings.seeds[0] = second->settings.seeds[1];
+		for (guint i = 0; i < 5; i++)
+			fleet_start(fleet, i, WALL_MS);
+		fleet_run(fleet, 30 * S);
+		fleet_start(fleet, 5, behind ? WALL_MS / 2 : WALL_MS * 2);
+		fleet_run(fleet, 30 * S);
+		CU_ASSERT(dws_membership_is_replaced(
+			fleet_node(fleet, 0)->membership));
+		CU_ASSERT_EQUAL(
+			dws_membership_find(fleet_node(fleet, 4)->membership,
+					    "vm-0")
+				->epoch,
+			dws_membership_self(second->membership)->epoch);
+		finish(fleet);
+	}
+}
+
+/* Its clock went back, and it is cut off until it is no new process any more. */
+static void test_restarted_process_outlives_its_former_self(void)
+{
+	fleet_t *fleet = start_fleet(6, 2, true);
+	fleet_node_t *restarted = fleet_node(fleet, 3);
+
+	CU_ASSERT(await_all(fleet, 6));
+	fleet_run(fleet, 25 * S);
+	restarted->side = 1;
+	fleet_start(fleet, 3, WALL_MS / 2);
+	fleet_run(fleet, 15 * S);
+	restarted->side = 0;
+	CU_ASSERT(await_all(fleet, 6));
+	CU_ASSERT_FALSE(dws_membership_is_replaced(restarted->membership));
+	finish(fleet);
+}
+
+static void test_halves_of_a_healed_partition_meet(void)
+{
+	fleet_t *fleet = start_fleet(24, 3, true);
+
+	CU_ASSERT(await_all(fleet, 24));
+	for (guint i = 0; i < 24; i += 3)
+		fleet_node(fleet, i)->side = 1;
+	CU_ASSERT(fleet_await(fleet, 1, DWS_MEMBER_DEAD, 8, 120 * S));
+	CU_ASSERT(fleet_await(fleet, 0, DWS_MEMBER_DEAD, 16, 120 * S));
+	for (guint i = 0; i < 24; i += 3)
+		fleet_node(fleet, i)->side = 0;
+	CU_ASSERT(await_all(fleet, 24));
+	finish(fleet);
+}
+
+static bool offer(dws_membership_t *membership, const char *text,
+		  GError **error)
+{
+	return dws_membership_offer_list(membership, 0, text, strlen(text),
+					 error);
+}
+
+#define VM(id, state)                                                          \
+	"  - {id: " id ", ip: 10.0.0.1, frame_port: 1, datagram_port: 2, "     \
+	"zone: zone-0, region: r, service: s, state: " state "}\n"
+
+static void test_list_is_taken_whole_or_not(void)
+{
+	static const char *const bad[] = {
+		"",
+		"[",
+		"revision: 9\nvms: 3\n",
+		"vms: []\n",
+		"revision: -1\nvms: []\n",
+		"revision: 9\nvms:\n" VM("x", "live") VM("x", "live"),
+		"revision: 9\nvms:\n" VM("x", "live") VM("y", "gone"),
+		"revision: 9\nvms:\n" VM("x", "live") "  - {id: y}\n",
+		"revision: 9\nvms:\n  - 5\n",
+	};
+	fleet_t *fleet = start_fleet(1, 1, false);
+	dws_membership_t *membership = fleet_node(fleet, 0)->membership;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		GError *error = NULL;
+
+		CU_ASSERT_FALSE(offer(membership, bad[i], &error));
+		CU_ASSERT(error && error->domain == DWS_ERROR &&
+			  strstr(error->message, "VM list:"));
+		g_clear_error(&error);
+	}
+	CU_ASSERT_EQUAL(dws_membership_all(membership)->len, 1);
+	CU_ASSERT_EQUAL(dws_membership_revision(membership), 0);
+	CU_ASSERT(offer(membership,
+			"revision: 9\nvms:\n" VM("x", "live") VM("y", "leaving")
+				VM("vm-0", "leaving"),
+			NULL));
+	CU_ASSERT_EQUAL(dws_membership_find(membership, "x")->state,
+			DWS_MEMBER_ALIVE);
+	CU_ASSERT_EQUAL(dws_membership_find(membership, "y")->state,
+			DWS_MEMBER_LEAVING);
+	CU_ASSERT(dws_membership_is_listed_leaving(membership));
+	CU_ASSERT(offer(membership, "revision: 8\nvms: []\n", NULL));
+	CU_ASSERT_PTR_NOT_NULL(dws_membership_find(membership, "x"));
+	/* Never heard and no longer listed: gone. */
+	CU_ASSERT(offer(membership, "revision: 10\nvms: []\n", NULL));
+	CU_ASSERT_PTR_NULL(dws_membership_find(membership, "x"));
+	finish(fleet);
+}
+
+static void test_absence_from_the_list_kills_nobody_who_answers(void)
+{
+	fleet_t *fleet = start_fleet(5, 1, true);
+
+	CU_ASSERT(await_all(fleet, 5));
+	for (guint i = 0; i < 5; i++)
+		CU_ASSERT(offer(fleet_node(fleet, i)->membership,
+				"revision: 2\nvms: []\n", NULL));
+	fleet_run(fleet, 60 * S);
+	for (guint i = 0; i < 5; i++)
+		CU_ASSERT_EQUAL(fleet_count(fleet, i, DWS_MEMBER_ALIVE), 5);
+	finish(fleet);
+}
+
+static void test_hostile_datagrams_are_refused_and_memory_is_bounded(void)
+{
+	static const dws_member_t good = {.vm_id = "stranger",
+					  .frame.ip = "10.0.0.1",
+					  .epoch = 5,
+					  .incarnation = 6};
+	fleet_t *fleet = start_fleet(1, 1, false);
+	dws_membership_t *membership = fleet_node(fleet, 0)->membership;
+	dws_member_t bad[4] = {good, good, good, good};
+	uint8_t large[2000] = {0};
+
+	bad[0].state = 9;
+	bad[1].epoch = 0;
+	g_strlcpy(bad[2].frame.ip, "example.org", 46);
+	g_strlcpy(bad[3].vm_id, "a b", DWS_ID_SIZE);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		GError *error = NULL;
+
+		CU_ASSERT_FALSE(fleet_forge(membership, &bad[i], &error));
+		CU_ASSERT(g_error_matches(error, DWS_ERROR, DWS_ERROR_FRAME));
+		g_clear_error(&error);
+	}
+	CU_ASSERT_FALSE(dws_membership_receive(membership, 1, large,
+					       sizeof(large), NULL));
+	CU_ASSERT_EQUAL(dws_membership_all(membership)->len, 1);
+	for (int i = 0; i < 10000; i++) {
+		dws_member_t forged = good;
+
+		g_snprintf(forged.vm_id, DWS_ID_SIZE, "forged-%d", i);
+		CU_ASSERT(fleet_forge(membership, &forged, NULL));
+	}
+	CU_ASSERT_EQUAL(dws_membership_all(membership)->len, 4096);
+	finish(fleet);
+}
+
+static guint count_readers(const fleet_t *fleet, guint zone, guint zones)
+{
+	guint count = 0;
+
+	for (guint i = zone; i < fleet->nodes->len; i += zones) {
+		const fleet_node_t *node = fleet_node(fleet, i);
+
+		if (node->membership &&
+		    dws_membership_is_reader(node->membership))
+			count++;
+	}
+	return count;
+}
+
+static void test_each_zone_has_two_readers_also_after_a_failure(void)
+{
+	fleet_t *fleet = start_fleet(30, 3, true);
+	guint first = 0;
+
+	CU_ASSERT(await_all(fleet, 30));
+	fleet_run(fleet, 60 * S);
+	for (guint zone = 0; zone < 3; zone++)
+		CU_ASSERT_EQUAL(count_readers(fleet, zone, 3), 2);
+	while (!dws_membership_is_reader(fleet_node(fleet, first)->membership))
+		first += 3;
+	fleet_stop(fleet, first);
+	CU_ASSERT(fleet_await(fleet, first, DWS_MEMBER_DEAD, 29, 60 * S));
+	CU_ASSERT_EQUAL(count_readers(fleet, 0, 3), 2);
+	finish(fleet);
+}
+
+static uint64_t total_bytes(const fleet_t *fleet)
+{
+	uint64_t bytes = 0;
+
+	for (guint i = 0; i < fleet->nodes->len; i++)
+		bytes += fleet_node(fleet, i)->bytes;
+	return bytes;
+}
+
+static void test_cost_stays_small_and_a_sequence_spreads(void)
+{
+	fleet_t *fleet = start_fleet(200, 9, true);
+	fleet_node_t *first = fleet_node(fleet, 0);
+
+	fleet_run(fleet, 300 * S);
+	uint64_t before = total_bytes(fleet);
+
+	fleet_run(fleet, 60 * S);
+	CU_ASSERT((total_bytes(fleet) - before) / 200 / 60 < 3000);
+	first->claim.config_sequence = 7;
+	dws_membership_set_claim(first->membership, &first->claim);
+	dws_membership_announce(first->membership, fleet->now_us);
+	fleet_run(fleet, 2 * S);
+	for (guint i = 0; i < 200; i++)
+		CU_ASSERT_EQUAL(fleet_node(fleet, i)->claim.config_sequence, 7);
+	finish(fleet);
+}
+
+int main(void)
+{
+	CU_initialize_registry();
+	CU_pSuite suite = CU_add_suite("membership", NULL, NULL);
+
+	CU_add_test(suite, "join", test_joins_fails_and_returns_despite_losses);
+	CU_add_test(suite, "pause",
+		    test_paused_process_blames_nobody_and_refutes);
+	CU_add_test(suite, "leaving",
+		    test_leaving_is_known_to_all_within_two_seconds);
+	CU_add_test(suite, "replacement", test_new_process_takes_a_vm_id_over);
+	CU_add_test(suite, "restart",
+		    test_restarted_process_outlives_its_former_self);
+	CU_add_test(suite, "partition", test_halves_of_a_healed_partition_meet);
+	CU_add_test(suite, "list", test_list_is_taken_whole_or_not);
+	CU_add_test(suite, "lagging list",
+		    test_absence_from_the_list_kills_nobody_who_answers);
+	CU_add_test(suite, "hostile datagrams",
+		    test_hostile_datagrams_are_refused_and_memory_is_bounded);
+	CU_add_test(suite, "readers",
+		    test_each_zone_has_two_readers_also_after_a_failure);
+	CU_add_test(suite, "cost",
+		    test_cost_stays_small_and_a_sequence_spreads);
+	CU_basic_run_tests();
+	unsigned int failures = CU_get_number_of_failures();
+
+	CU_cleanup_registry();
+	return failures ? 1 : 0;
+}
