Measure the policies with real processes

Cause: policies have to be judged by goodput, service by priority, recovery and executions per request under load and faults.

--- /dev/null
+++ b/scripts/measure.awk
@@ -0,0 +1,199 @@
+# Reads what one run of scripts/measure left: the table of kinds, the callers'
+# offsets, a line per request of each caller, a line per execution event of
+# each upstream. Prints a summary line and appends a row per kind and phase.
+#
+# Times are seconds since the start of the load. A request belongs to the
+# phase and to the interval in which it was sent.
+
+BEGIN {
+	BIN_S = 0.5
+	STEP_MS = 0.02 # resolution of quantiles
+	WARM_UP_S = 2
+	RECOVERED = 0.99
+	STEADY_BINS = 3 # in a row, for a recovery
+}
+
+FILENAME ~ /\/kinds$/ {
+	kinds++
+	name[kinds] = $1
+	method[kinds] = $2
+	prefix[kinds] = "/" $3 ($4 == "/" ? "" : $4)
+	priority[kinds] = $5
+	worth[kinds] = $6
+	budget[kinds] = $7
+	next
+}
+
+FILENAME ~ /\/offsets$/ { offset_s[$1] = $2 / 1000; next }
+
+FILENAME ~ /\.csv$/ {
+	source = FILENAME
+	gsub(/.*\/|\.csv$/, "", source)
+	split($0, column, ",")
+	at_s = column[1] / 1e6 + offset_s[source]
+	sub(/-[0-9]+$/, "", source)
+	request(source, at_s, column[2] / 1000, column[3], column[4],
+		column[5], column[8])
+	next
+}
+
+# start identity call method target customer
+FILENAME ~ /\.record$/ && $1 == "start" {
+	order = $5
+	sub(/.*order=/, "", order)
+	executions++
+	in_tree[order]++
+	if ($4 != "GET" && ++once[order, $5] == 2)
+		repeated++
+}
+
+function kind_of(verb, path,    i, best) {
+	for (i = 1; i <= kinds; i++) {
+		if (method[i] == verb && index(path, prefix[i]) == 1 &&
+			(!best || length(prefix[i]) > length(prefix[best])))
+			best = i
+	}
+	return best
+}
+
+function phase_of(at_s) {
+	if (at_s < WARM_UP_S)
+		return "warm-up"
+	if (at_s < from_s)
+		return "before"
+	return at_s < to_s ? "during" : "after"
+}
+
+function request(source, at_s, latency_ms, call, status, outcome, whole,
+		 part, kind, key, good, order, bin) {
+	split(call, part, " ")
+	order = part[2]
+	sub(/\?.*/, "", part[2])
+	kind = kind_of(part[1], part[2])
+	sub(/.*order=/, "", order)
+	root[order] = kind
+	roots++
+	good = status == 200 && whole == 1 &&
+		(outcome == "complete" || source == "direct")
+	key = source SUBSEP (duration_s ? phase_of(at_s) : "all") SUBSEP kind
+	sent[key]++
+	outcomes[key, good ? "complete" : outcome == "complete" ? "failed" : \
+		outcome == "" ? "lost" : outcome]++
+	if (good) {
+		bin = int(latency_ms / STEP_MS)
+		times[key, bin]++
+		if (bin > longest[key])
+			longest[key] = bin
+	}
+	if (source == "base") {
+		bin = int(at_s / BIN_S)
+		worth_sent[bin] += worth[kind]
+		worth_done[bin] += good * worth[kind]
+	}
+}
+
+function quantile_ms(key, share,    wanted, seen, bin) {
+	wanted = share * outcomes[key, "complete"]
+	for (bin = 0; bin <= longest[key]; bin++) {
+		seen += times[key, bin]
+		if (seen >= wanted && seen > 0)
+			return (bin + 0.5) * STEP_MS
+	}
+	return 0
+}
+
+# Share of what was sent that completed; by least and most urgent priority.
+function kept(sources, phase, low, high,    k, source, list, n, i, s, c, key) {
+	n = split(sources, list, " ")
+	for (i = 1; i <= n; i++) {
+		for (k = 1; k <= kinds; k++) {
+			key = list[i] SUBSEP phase SUBSEP k
+			if (!(key in sent) || priority[k] < low ||
+				priority[k] > high)
+				continue
+			s += sent[key] * worth[k]
+			c += outcomes[key, "complete"] * worth[k]
+		}
+	}
+	return s ? c / s : 0
+}
+
+# Worth of whole requests per second.
+function goodput(phase, seconds,    k, sum) {
+	for (k = 1; k <= kinds; k++)
+		sum += worth[k] * (outcomes["base", phase, k, "complete"] + \
+			outcomes["flood", phase, k, "complete"])
+	return sum / seconds
+}
+
+# Seconds from the end of the disturbance until what is sent completes again.
+function recovery_s(    before, bin, run) {
+	before = kept("base", "before", 0, 255)
+	for (bin = int(to_s / BIN_S); bin < duration_s / BIN_S; bin++) {
+		run = worth_done[bin] >= RECOVERED * before * worth_sent[bin] ? \
+			run + 1 : 0
+		if (run == STEADY_BINS)
+			return (bin + 1 - STEADY_BINS) * BIN_S - to_s
+	}
+	return -1
+}
+
+function over_bound(    order, k, bound, count) {
+	for (order in in_tree) {
+		if (in_tree[order] > most)
+			most = in_tree[order]
+		k = root[order]
+		bound = 1 + budget[k]
+		if (name[k] == "confirm-booking")
+			bound += 3
+		if (method[k] == "GET")
+			bound *= 1 + retries
+		count += k && in_tree[order] > bound
+	}
+	return count
+}
+
+function write_rows(    key, part, k, line) {
+	for (key in sent) {
+		split(key, part, SUBSEP)
+		k = part[3]
+		line = sprintf("%s,%s,%d,%s,%s,%s,%d,%d", scenario, policy,
+			seed, part[1], part[2], name[k], priority[k], worth[k])
+		line = line sprintf(",%d,%d,%d,%d,%d,%d,%.2f,%.2f", sent[key],
+			outcomes[key, "complete"], outcomes[key, "not-run"],
+			outcomes[key, "unknown"], outcomes[key, "failed"],
+			outcomes[key, "lost"], quantile_ms(key, 0.5),
+			quantile_ms(key, 0.99))
+		print line >>rows
+	}
+}
+
+function print_latency(    n, list, i, key) {
+	n = split("direct local remote", list, " ")
+	printf "%-9s %-8s seed=%d", scenario, policy, seed
+	for (i = 1; i <= n; i++) {
+		key = list[i] SUBSEP "all" SUBSEP kind_of("GET", "/portfolios/list")
+		printf " | %s p50_ms %.2f p99_ms %.2f", list[i],
+			quantile_ms(key, 0.5), quantile_ms(key, 0.99)
+	}
+	printf "\n"
+}
+
+END {
+	write_rows()
+	if (scenario == "latency") {
+		print_latency()
+		exit
+	}
+	over = over_bound()
+	printf "%-9s %-8s seed=%d goodput/s %5.0f %5.0f %5.0f", scenario,
+		policy, seed, goodput("before", from_s - WARM_UP_S),
+		goodput("during", to_s - from_s),
+		goodput("after", duration_s - to_s)
+	printf " | during: urgent %.4f browsing %.4f flood %.4f",
+		kept("base", "during", 1, 255), kept("base", "during", 0, 0),
+		kept("flood", "during", 0, 255)
+	printf " | recovery_s %.1f | executions/request %.3f most %d over %d twice %d\n",
+		recovery_s(), roots ? executions / roots : 0, most, over,
+		repeated
+}
