--- a/src/request/queue.h
+++ b/src/request/queue.h
@@ -3,7 +3,9 @@
  * among kinds of one priority, each leaves in proportion to its worth. When
  * full, a more urgent arrival displaces the least urgent item. Within a
  * priority, an arrival of a kind that holds less than its share displaces
- * the newest item of the kind that is most above its own.
+ * an item of the kind that is most above its own. Inside a kind the oldest
+ * leaves first and the newest is displaced; it is the other way round while
+ * the oldest has waited for a good part of its time.
  */
 #ifndef DWS_REQUEST_QUEUE_H
 #define DWS_REQUEST_QUEUE_H
@@ -45,7 +47,10 @@
 uint32_t dws_queue_length(const dws_queue_t *queue);
 /* Earliest of the latest starts, or DWS_NEVER_US. */
 int64_t dws_queue_next_deadline_us(const dws_queue_t *queue);
-/* The lowest priority of which any push is accepted now. */
-uint8_t dws_queue_threshold(const dws_queue_t *queue);
+/*
+ * The lowest priority before which fewer than so many items would run. With
+ * the capacity for room, it is the lowest of which any push is accepted.
+ */
+uint8_t dws_queue_threshold(const dws_queue_t *queue, uint32_t room);
 
 #endif
