Work out whether this process is a reader only after a change

Cause: each tick of a daemon asks four times whether it is a reader, and each answer went through all members. What: the answer is kept until the membership's generation changes.

--- a/src/process/membership.c
+++ b/src/process/membership.c
@@ -65,6 +65,7 @@
 	membership->sequence = g_rand_int(membership->random);
 	membership->claim.config_age_ms = UINT32_MAX;
 	membership->claim_set_us = now_us;
+	membership->reader = g_new0(dws_membership_reader_t, 1);
 	add_self(membership, epoch, wall_ms);
 	return membership;
 }
@@ -79,6 +80,7 @@
 	g_ptr_array_free(membership->all, TRUE);
 	g_hash_table_destroy(membership->by_id);
 	g_rand_free(membership->random);
+	g_free(membership->reader);
 	if (membership->list)
 		g_bytes_unref(membership->list);
 	g_free(membership);
@@ -398,12 +400,21 @@
 	return better;
 }
 
-/* True if this process is one of the readers of its zone. */
+/*
+ * True if this process is one of the readers of its zone. Asked for on each
+ * tick, so it is worked out only when a member has changed.
+ */
 bool dws_membership_is_reader(const dws_membership_t *membership)
 {
-	if (membership->self->claimed == DWS_MEMBER_LEAVING)
-		return false;
-	return count_better_readers(membership) < READERS_PER_ZONE;
+	dws_membership_reader_t *reader = membership->reader;
+
+	if (reader->is_known && reader->generation == membership->generation)
+		return reader->is_reader;
+	reader->is_known = true;
+	reader->generation = membership->generation;
+	reader->is_reader = membership->self->claimed != DWS_MEMBER_LEAVING &&
+			    count_better_readers(membership) < READERS_PER_ZONE;
+	return reader->is_reader;
 }
 
 /* Finds a member by its VM id; NULL if it is not known. */
--- a/src/process/membership_table.h
+++ b/src/process/membership_table.h
@@ -45,6 +45,13 @@
 	bool asked_others;
 } dws_membership_pending_t;
 
+/* Whether this process reads the platform, for one state of the members. */
+typedef struct dws_membership_reader {
+	bool is_known;
+	uint64_t generation;
+	bool is_reader;
+} dws_membership_reader_t;
+
 struct dws_membership {
 	const dws_settings_t *settings;
 	const dws_membership_ops_t *ops;
@@ -71,6 +78,7 @@
 	int64_t claim_set_us;
 	uint64_t revision;
 	GBytes *list;
+	dws_membership_reader_t *reader; /* a cache */
 };
 
 dws_membership_entry_t *
