--- a/src/process/loop_io.c
+++ b/src/process/loop_io.c
@@ -22,6 +22,8 @@
 /* Longer than planned by this: the process was paused. */
 #define GAP_US (500 * DWS_US_PER_MS)
 #define LOG_DELAY_S 0.05
+/* For requests on connections that are open when the drain ends. */
+#define LAST_REQUESTS_US (200 * DWS_US_PER_MS)
 /* For slow readers of the last answers. */
 #define LAST_ANSWERS_MAX_US (5 * DWS_US_PER_S)
 #define NS_PER_US 1000
@@ -76,8 +78,11 @@
 		dws_http_server_drain(&loop->server);
 		dws_http_server_quiesce(&loop->server);
 	}
-	bool is_late = now_us - loop->drained_us > LAST_ANSWERS_MAX_US;
+	int64_t since_us = now_us - loop->drained_us;
+	bool is_late = since_us > LAST_ANSWERS_MAX_US;
 
+	if (since_us < LAST_REQUESTS_US)
+		return;
 	if (!dws_http_server_is_idle(&loop->server) && !is_late)
 		return;
 	log_pair(loop, DWS_LOG_INFO, "drain_ended", "answers_cut",
@@ -117,6 +122,8 @@
 	dws_loop_t *loop = watcher->data;
 
 	dws_log_flush(&loop->log);
+	if (loop->log.buffer->len)
+		ev_timer_start(ev, watcher);
 }
 
 /*
@@ -428,7 +435,8 @@
 			  error))
 		return false;
 	signal(SIGPIPE, SIG_IGN);
-	loop->ev = ev_loop_new(EVFLAG_AUTO);
+	signal(SIGHUP, SIG_IGN);
+	loop->ev = ev_loop_new(EVBACKEND_EPOLL | EVFLAG_NOENV);
 	init_watchers(loop);
 	if (open_transports(loop, error)) {
 		if (start_serving(loop, error)) {
