Refuse queued work whose time is over before its caller gives up

Cause: when a process was late, the deadline of a request fired before the queue was looked at, so work that surely had not run was reported as unknown (new unit test "fence": unknown in place of not-run at the first refusal). The queue is now looked at first.

The daemon takes all file descriptors that the system grants, since the usual soft limit of 1024 is below max_connections and streams together.

--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -4,6 +4,7 @@
 #include <popt.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/resource.h>
 #include "process/loop_io.h"
 
 #define EXIT_BAD_SETTINGS 2
@@ -22,6 +23,20 @@
 	return status;
 }
 
+/*
+ * Takes all file descriptors that the system grants: callers, peers and the
+ * upstream need one for each connection.
+ */
+static void raise_file_limit(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+		return;
+	limit.rlim_cur = limit.rlim_max;
+	setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 /* Serves until a drain has ended. */
 static int serve(const dws_settings_t *settings)
 {
@@ -59,6 +74,7 @@
 		puts("settings are valid");
 		return EXIT_SUCCESS;
 	}
+	raise_file_limit();
 	return serve(&settings);
 }
 
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -277,6 +277,8 @@
 
 	enter(node, now_us);
 	node->wall_offset_ms = wall_ms - node->now_us / DWS_US_PER_MS;
+	/* Queued work whose time is over is surely unrun; say so first. */
+	leave(node);
 	while (dws_timers_take(&node->timers, node->now_us, &timer))
 		fire(node, &timer);
 	dws_spread_set_claim(node);
--- a/test/unit/test_node.c
+++ b/test/unit/test_node.c
@@ -4,6 +4,7 @@
 #include <CUnit/Basic.h>
 #include <string.h>
 
+#include "connection/wire.pb-c.h"
 #include "process/counters.h"
 #include "process/settings.h"
 
@@ -43,6 +44,7 @@
 	uint64_t attempt_id;
 	char identity[64];
 	uint32_t cancels;
+	uint32_t replies; /* to peers */
 } recorder_t;
 
 static void on_answer(dws_io_t *io, uint64_t call_id,
@@ -82,6 +84,21 @@
 {
 }
 
+/* Keeps the outcome of an answer to a peer. */
+static void on_frame(dws_io_t *io, const dws_address_t *to, const uint8_t *data,
+		     size_t size_bytes)
+{
+	recorder_t *recorder = (recorder_t *)io;
+	Dws__Envelope *envelope = dws__envelope__unpack(NULL, size_bytes, data);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(envelope);
+	if (envelope->body_case == DWS__ENVELOPE__BODY_ANSWER) {
+		recorder->replies++;
+		recorder->outcome = (dws_outcome_t)envelope->answer->outcome;
+	}
+	dws__envelope__free_unpacked(envelope, NULL);
+}
+
 static void on_read(dws_io_t *io, dws_platform_item_t item, uint64_t after,
 		    int64_t wait_ms)
 {
@@ -100,7 +117,7 @@
 	.answer = on_answer,
 	.dispatch = on_dispatch,
 	.cancel = on_cancel,
-	.send_frame = on_send,
+	.send_frame = on_frame,
 	.send_datagram = on_send,
 	.read_platform = on_read,
 	.log = on_log,
@@ -338,6 +355,70 @@
 	finish(&recorder);
 }
 
+/* Submits a nested order of a peer, always under the same call id. */
+static void submit(recorder_t *recorder, uint32_t remaining_us)
+{
+	uint8_t trace_id[16] = {1};
+	uint8_t data[512];
+	Dws__Envelope envelope = DWS__ENVELOPE__INIT;
+	Dws__Submit message = DWS__SUBMIT__INIT;
+	Dws__Context context = DWS__CONTEXT__INIT;
+	Dws__Request request = DWS__REQUEST__INIT;
+
+	context.trace_id.data = trace_id;
+	context.trace_id.len = sizeof(trace_id);
+	context.remaining_us = remaining_us;
+	context.home_vm = "vm-1";
+	context.home_epoch = 77;
+	context.root_serial = 120000ULL << 24;
+	context.place = 5;
+	context.hop = 1;
+	request.method = "POST";
+	request.path = "/shop/x";
+	request.kind = "order";
+	message.call_id = 9;
+	message.context = &context;
+	message.request = &request;
+	message.priority = 2;
+	envelope.from_vm = "vm-2";
+	envelope.from_epoch = 88;
+	envelope.from_ip = "127.0.0.1";
+	envelope.from_port = 14;
+	envelope.body_case = DWS__ENVELOPE__BODY_SUBMIT;
+	envelope.submit = &message;
+	CU_ASSERT_FATAL(dws__envelope__get_packed_size(&envelope) <=
+			sizeof(data));
+	size_t size_bytes = dws__envelope__pack(&envelope, data);
+
+	CU_ASSERT_TRUE(dws_node_frame(recorder->node, recorder->now_us, data,
+				      size_bytes, NULL));
+}
+
+/* A copy that a broken stream delivers late must not run after a refusal. */
+static void test_refused_submit_is_fenced(void)
+{
+	recorder_t recorder;
+	uint64_t ids[20];
+
+	start(&recorder);
+	for (int i = 0; i < 20; i++)
+		ids[i] = call(&recorder, "GET", NULL, "");
+	submit(&recorder, 50 * DWS_US_PER_MS);
+	CU_ASSERT_EQUAL(recorder.replies, 0);
+	tick(&recorder, 200 * DWS_US_PER_MS);
+	CU_ASSERT_EQUAL(recorder.replies, 1);
+	CU_ASSERT_EQUAL(recorder.outcome, DWS_OUTCOME_NOT_RUN);
+	for (int i = 0; i < 20; i++)
+		dws_node_caller_gone(recorder.node, recorder.now_us, ids[i]);
+	uint32_t dispatches = recorder.dispatches;
+
+	submit(&recorder, 900 * DWS_US_PER_MS);
+	CU_ASSERT_EQUAL(recorder.dispatches, dispatches);
+	CU_ASSERT_EQUAL(recorder.replies, 2);
+	CU_ASSERT_EQUAL(recorder.outcome, DWS_OUTCOME_NOT_RUN);
+	finish(&recorder);
+}
+
 int main(void)
 {
 	CU_initialize_registry();
@@ -352,6 +433,7 @@
 		    test_hang_up_cancels_only_idempotent_work);
 	CU_add_test(suite, "customer retries",
 		    test_retries_of_a_customer_are_bounded);
+	CU_add_test(suite, "fence", test_refused_submit_is_fenced);
 	CU_add_test(suite, "room", test_browsing_leaves_room_for_urgent_calls);
 	CU_add_test(suite, "paused", test_deadline_passes_while_paused);
 	CU_basic_run_tests();
