Queue a nested call as work of its root's kind

Ruled out: the concurrency limit of deposits, which followed the slowdown. What: requests carry the kind and worth of their root; queues share by these.

--- a/src/connection/envelope.c
+++ b/src/connection/envelope.c
@@ -78,6 +78,8 @@
 	wire->home_epoch = context->home_epoch;
 	wire->root_serial = context->root_serial;
 	wire->place = context->place;
+	wire->root_kind = (char *)context->root_kind;
+	wire->root_worth = context->root_worth;
 }
 
 /*
@@ -105,6 +107,9 @@
 	context->home_epoch = wire->home_epoch;
 	context->root_serial = wire->root_serial;
 	context->place = wire->place;
+	g_strlcpy(context->root_kind, wire->root_kind,
+		  sizeof(context->root_kind));
+	context->root_worth = MAX(wire->root_worth, 1);
 	return true;
 }
 
--- a/src/connection/wire.pb-c.c
+++ b/src/connection/wire.pb-c.c
@@ -682,7 +682,7 @@
   assert(message->base.descriptor == &dws__probe__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor dws__context__field_descriptors[11] =
+static const ProtobufCFieldDescriptor dws__context__field_descriptors[13] =
 {
   {
     "trace_id",
@@ -816,6 +816,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "root_kind",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Dws__Context, root_kind),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "root_worth",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dws__Context, root_worth),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dws__context__field_indices_by_name[] = {
   2,   /* field[2] = customer */
@@ -827,13 +851,15 @@
   3,   /* field[3] = remaining_us */
   6,   /* field[6] = retried */
   4,   /* field[4] = retry_tokens */
+  11,   /* field[11] = root_kind */
   9,   /* field[9] = root_serial */
+  12,   /* field[12] = root_worth */
   0,   /* field[0] = trace_id */
 };
 static const ProtobufCIntRange dws__context__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor dws__context__descriptor =
 {
@@ -843,7 +869,7 @@
   "Dws__Context",
   "dws",
   sizeof(Dws__Context),
-  11,
+  13,
   dws__context__field_descriptors,
   dws__context__field_indices_by_name,
   1,  dws__context__number_ranges,
@@ -953,7 +979,7 @@
   (ProtobufCMessageInit) dws__request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dws__execute__field_descriptors[8] =
+static const ProtobufCFieldDescriptor dws__execute__field_descriptors[5] =
 {
   {
     "attempt_id",
@@ -1015,42 +1041,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "worth",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Dws__Execute, worth),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "timeout_us",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Dws__Execute, timeout_us),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "stream",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Dws__Execute, stream),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned dws__execute__field_indices_by_name[] = {
   0,   /* field[0] = attempt_id */
@@ -1058,14 +1048,11 @@
   3,   /* field[3] = idempotent */
   4,   /* field[4] = priority */
   2,   /* field[2] = request */
-  7,   /* field[7] = stream */
-  6,   /* field[6] = timeout_us */
-  5,   /* field[5] = worth */
 };
 static const ProtobufCIntRange dws__execute__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor dws__execute__descriptor =
 {
@@ -1075,7 +1062,7 @@
   "Dws__Execute",
   "dws",
   sizeof(Dws__Execute),
-  8,
+  5,
   dws__execute__field_descriptors,
   dws__execute__field_indices_by_name,
   1,  dws__execute__number_ranges,
--- a/src/connection/wire.pb-c.h
+++ b/src/connection/wire.pb-c.h
@@ -73,10 +73,12 @@
    * of this call in the tree of its root
    */
   uint64_t place;
+  char *root_kind;
+  uint32_t root_worth;
 };
 #define DWS__CONTEXT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dws__context__descriptor) \
-    , {0,NULL}, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , {0,NULL}, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Dws__Request
@@ -105,13 +107,10 @@
   Dws__Request *request;
   protobuf_c_boolean idempotent;
   uint32_t priority;
-  uint32_t worth;
-  uint32_t timeout_us;
-  uint32_t stream;
 };
 #define DWS__EXECUTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dws__execute__descriptor) \
-    , 0, NULL, NULL, 0, 0, 0, 0, 0 }
+    , 0, NULL, NULL, 0, 0 }
 
 
 /*
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -330,7 +330,6 @@
 		.remote = {.epoch = from->epoch, .id = execute->attempt_id},
 		.origin = from,
 		.priority = (uint8_t)MIN(execute->priority, 7),
-		.worth = execute->worth,
 		.idempotent = execute->idempotent};
 
 	if (!execute->request ||
--- a/src/process/node_internal.h
+++ b/src/process/node_internal.h
@@ -46,6 +46,8 @@
 	uint64_t home_epoch;
 	uint64_t root_serial;
 	uint64_t place;
+	char root_kind[DWS_NAME_SIZE];
+	uint32_t root_worth;
 } dws_context_t;
 
 /* The request as it is passed to the upstream; reference-counted body. */
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -262,12 +262,13 @@
 		return;
 	}
 	dws_attempt_t *attempt = create(node, work);
-	dws_queue_item_t item = {.id = attempt->id,
-				 .kind = dws_kind_number(node, attempt->kind),
-				 .priority = work->priority,
-				 .worth = MAX(work->worth, 1),
-				 .enqueued_us = node->now_us,
-				 .deadline_us = attempt->context.deadline_us};
+	dws_queue_item_t item = {
+		.id = attempt->id,
+		.kind = dws_kind_number(node, attempt->context.root_kind),
+		.priority = work->priority,
+		.worth = attempt->context.root_worth,
+		.enqueued_us = node->now_us,
+		.deadline_us = attempt->context.deadline_us};
 
 	if (!dws_admission_offer(&node->admission, node->now_us, &item,
 				 &displaced))
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -13,7 +13,6 @@
 	bool is_local;
 	const char *kind;
 	uint8_t priority;
-	uint32_t worth;
 	bool idempotent;
 	dws_context_t context;
 	dws_payload_t payload; /* taken over */
--- a/src/request/intake.c
+++ b/src/request/intake.c
@@ -79,6 +79,9 @@
 			  sizeof(context->customer));
 	context->deadline_us = node->now_us + timeout_us(call, &request->kind);
 	context->tokens = request->kind.retry_budget;
+	g_strlcpy(context->root_kind, request->kind.name,
+		  sizeof(context->root_kind));
+	context->root_worth = MAX(request->kind.worth, 1);
 	g_strlcpy(context->home_vm, node->settings->vm_id,
 		  sizeof(context->home_vm));
 	context->home_epoch = node->epoch;
--- a/src/request/outgoing.c
+++ b/src/request/outgoing.c
@@ -48,9 +48,9 @@
 	uint64_t displaced = 0;
 	dws_queue_item_t item = {
 		.id = request->id,
-		.kind = dws_kind_number(node, request->kind.name),
+		.kind = dws_kind_number(node, request->context.root_kind),
 		.priority = request->kind.priority,
-		.worth = MAX(request->kind.worth, 1),
+		.worth = request->context.root_worth,
 		.enqueued_us = node->now_us,
 		.deadline_us = request->context.deadline_us,
 	};
@@ -101,7 +101,6 @@
 		.is_local = true,
 		.kind = request->kind.name,
 		.priority = request->kind.priority,
-		.worth = request->kind.worth,
 		.idempotent = request->kind.idempotent,
 		.context = attempt_context(node, request)};
 
@@ -126,7 +125,6 @@
 	execute.request = &wire_request;
 	execute.idempotent = request->kind.idempotent;
 	execute.priority = request->kind.priority;
-	execute.worth = request->kind.worth;
 	envelope.body_case = DWS__ENVELOPE__BODY_EXECUTE;
 	envelope.execute = &execute;
 	dws_envelope_send(node, &request->target, request->target_epoch,
