--- a/test/unit/test_node.c
+++ b/test/unit/test_node.c
@@ -355,6 +355,49 @@
 	finish(&recorder);
 }
 
+static void call_nested(recorder_t *recorder, uint64_t parent_attempt)
+{
+	dws_call_t request = {.method = "GET",
+			      .path = "/shop/nested",
+			      .is_nested = true,
+			      .parent_attempt = parent_attempt};
+
+	dws_node_call(recorder->node, recorder->now_us, &request);
+}
+
+/*
+ * What an upstream calls again for a request that is tried again costs the
+ * root's budget of 2: half of it was lost with the first attempt, the other
+ * half paid for the second.
+ */
+static void check_nested_calls_are_charged(dws_dispatch_outcome_t *end)
+{
+	recorder_t recorder;
+	uint64_t attempt_id;
+
+	start(&recorder);
+	call(&recorder, "GET", NULL, "");
+	attempt_id = recorder.attempt_id;
+	call_nested(&recorder, attempt_id);
+	end_dispatch(&recorder, DWS_DISPATCH_ANSWERED);
+	CU_ASSERT_EQUAL(recorder.dispatches, 2);
+	dws_node_dispatched(recorder.node, recorder.now_us, attempt_id, end);
+	CU_ASSERT_EQUAL(recorder.dispatches, 3);
+	call_nested(&recorder, recorder.attempt_id);
+	CU_ASSERT_EQUAL(recorder.dispatches, 3);
+	CU_ASSERT_EQUAL(recorder.reason, DWS_REASON_RETRY_BUDGET);
+	finish(&recorder);
+}
+
+static void test_nested_calls_of_a_retry_are_charged(void)
+{
+	dws_dispatch_outcome_t lost = {.result = DWS_DISPATCH_LOST};
+	dws_dispatch_outcome_t shed = {.status = 503, .refused = true};
+
+	check_nested_calls_are_charged(&lost);
+	check_nested_calls_are_charged(&shed);
+}
+
 /* Submits a nested order of a peer, always under the same call id. */
 static void submit(recorder_t *recorder, uint32_t remaining_us)
 {
@@ -433,6 +476,7 @@
 		    test_hang_up_cancels_only_idempotent_work);
 	CU_add_test(suite, "customer retries",
 		    test_retries_of_a_customer_are_bounded);
+	CU_add_test(suite, "charged", test_nested_calls_of_a_retry_are_charged);
 	CU_add_test(suite, "fence", test_refused_submit_is_fenced);
 	CU_add_test(suite, "room", test_browsing_leaves_room_for_urgent_calls);
 	CU_add_test(suite, "paused", test_deadline_passes_while_paused);
