--- a/test/support/site.c
+++ b/test/support/site.c
@@ -218,27 +218,48 @@
 	return vm;
 }
 
+/* All other VMs, as seeds of this one. */
+static char *seeds_of(const site_vm_t *vm)
+{
+	GString *text = g_string_new(NULL);
+
+	for (guint i = 0; i < vm->site->vms->len; i++) {
+		const site_vm_t *other = g_ptr_array_index(vm->site->vms, i);
+
+		if (other != vm)
+			g_string_append_printf(text,
+					       "  - {frame: 127.0.0.1:%u, "
+					       "datagram: 127.0.0.1:%u}\n",
+					       other->frame, other->datagram);
+	}
+	if (text->len > 0)
+		g_string_prepend(text, "seeds:\n");
+	return g_string_free(text, FALSE);
+}
+
 /* Writes the settings of a VM and returns the file's name. */
 static char *write_settings(const site_vm_t *vm)
 {
 	char *file = g_strdup_printf("%s/%s.yaml", vm->site->dir, vm->id);
+	char *seeds = seeds_of(vm);
 	char *text = g_strdup_printf(
 		"vm_id: %s\nzone: %s\nregion: palermo\nservice: %s\n"
 		"callers_listen: 127.0.0.1:%u\nupstream_listen: 127.0.0.1:%u\n"
 		"admin_listen: 127.0.0.1:%u\nframe_listen: 127.0.0.1:%u\n"
 		"datagram_listen: 127.0.0.1:%u\nupstream: 127.0.0.1:%u\n"
-		"platform: 127.0.0.1:%u\nlog_file: %s\n%s",
+		"platform: 127.0.0.1:%u\nlog_file: %s\n%s%s",
 		vm->id, vm->zone, vm->service, vm->callers, vm->nested,
 		vm->admin, vm->frame, vm->datagram, vm->upstream.ports[0],
-		vm->site->platform.ports[0], vm->log, vm->settings);
+		vm->site->platform.ports[0], vm->log, seeds, vm->settings);
 
 	CU_ASSERT(g_file_set_contents(file, text, -1, NULL));
+	g_free(seeds);
 	g_free(text);
 	return file;
 }
 
-/* Starts a daemon and waits until it serves. */
-bool site_start_daemon(site_vm_t *vm)
+/* Starts a daemon; it may not serve yet. */
+void site_spawn_daemon(site_vm_t *vm)
 {
 	GPtrArray *arguments = arguments_new("dogwoodshiftd", "--settings");
 
@@ -249,6 +270,12 @@
 		vm->held[i] = -1;
 	}
 	start(&vm->daemon, arguments, false);
+}
+
+/* Starts a daemon and waits until it serves. */
+bool site_start_daemon(site_vm_t *vm)
+{
+	site_spawn_daemon(vm);
 	return site_wait_ready(vm);
 }
 
@@ -341,9 +368,10 @@
 	return value;
 }
 
-/* Sends a request as a customer; see the header. */
-void site_call(http_exchange_t *answer, const site_vm_t *vm, const char *method,
-	       const char *target, const char *customer, const char *ticket)
+/* Prepares a request of a customer. */
+static void prepare(http_exchange_t *exchange, const site_vm_t *vm,
+		    const char *method, const char *target,
+		    const char *customer, const char *ticket)
 {
 	char *url =
 		g_strdup_printf("http://127.0.0.1:%u%s", vm->callers, target);
@@ -352,45 +380,41 @@
 				      ticket ? ticket : "");
 	const char *const headers[] = {who, ticket ? which : NULL, NULL};
 
-	http_init(answer, method, url, "order", CALL_TIMEOUT_MS, headers);
-	http_run(answer);
+	http_init(exchange, method, url, "order", CALL_TIMEOUT_MS, headers);
 	g_free(url);
 	g_free(who);
 	g_free(which);
 }
 
+/* Sends a request and waits for its answer. */
+void site_call(http_exchange_t *answer, const site_vm_t *vm, const char *method,
+	       const char *target, const char *customer, const char *ticket)
+{
+	prepare(answer, vm, method, target, customer, ticket);
+	http_run(answer);
+}
+
 struct site_task {
 	GThread *thread;
-	http_exchange_t answer;
-	const site_vm_t *vm;
-	char *method;
-	char *target;
-	char *customer;
-	char *ticket;
+	http_exchange_t *exchange;
 };
 
-static gpointer run_task(gpointer data)
+static gpointer run_exchange(gpointer exchange)
 {
-	site_task_t *task = data;
-
-	site_call(&task->answer, task->vm, task->method, task->target,
-		  task->customer, task->ticket);
+	http_run(exchange);
 	return NULL;
 }
 
-/* Starts a request on a thread of its own. */
+/* Sends a request on a thread of its own. */
 site_task_t *site_call_later(const site_vm_t *vm, const char *method,
 			     const char *target, const char *customer,
 			     const char *ticket)
 {
 	site_task_t *task = g_new0(site_task_t, 1);
 
-	task->vm = vm;
-	task->method = g_strdup(method);
-	task->target = g_strdup(target);
-	task->customer = g_strdup(customer);
-	task->ticket = g_strdup(ticket);
-	task->thread = g_thread_new("call", run_task, task);
+	task->exchange = g_new0(http_exchange_t, 1);
+	prepare(task->exchange, vm, method, target, customer, ticket);
+	task->thread = g_thread_new("call", run_exchange, task->exchange);
 	return task;
 }
 
@@ -398,11 +422,8 @@
 void site_join(site_task_t *task, http_exchange_t *answer)
 {
 	g_thread_join(task->thread);
-	*answer = task->answer;
-	g_free(task->method);
-	g_free(task->target);
-	g_free(task->customer);
-	g_free(task->ticket);
+	*answer = *task->exchange;
+	g_free(task->exchange);
 	g_free(task);
 }
 
