--- a/src/process/counters.c
+++ b/src/process/counters.c
@@ -50,6 +50,7 @@
 	[DWS_HIST_QUEUE] = "queue",
 	[DWS_HIST_HOLD] = "hold",
 	[DWS_HIST_UPSTREAM] = "upstream",
+	[DWS_HIST_LOAD_AGE] = "load_age",
 };
 
 /* The upper bound of a bucket but the last, inclusive. */
--- a/src/process/counters.h
+++ b/src/process/counters.h
@@ -50,6 +50,7 @@
 	DWS_HIST_QUEUE, /* wait for the local upstream */
 	DWS_HIST_HOLD, /* wait for room at any upstream */
 	DWS_HIST_UPSTREAM, /* time at the local upstream */
+	DWS_HIST_LOAD_AGE, /* age of the load by which an endpoint was chosen */
 	DWS_HIST_COUNT
 } dws_histogram_t;
 
--- a/src/request/outgoing.c
+++ b/src/request/outgoing.c
@@ -131,6 +131,16 @@
 			  &envelope);
 }
 
+/* Notes how old the word was by which the endpoint was chosen. */
+static void count_load_age(dws_node_t *node, const char *vm_id)
+{
+	int64_t age_us = dws_routing_load_age_us(node->routing, node->now_us,
+						 vm_id);
+
+	if (age_us >= 0)
+		dws_counters_time(&node->counters, DWS_HIST_LOAD_AGE, age_us);
+}
+
 /* Sends a request to the chosen endpoint as a new attempt. */
 static void send(dws_node_t *node, dws_request_t *request,
 		 const dws_member_t *member)
@@ -146,6 +156,7 @@
 		g_hash_table_remove(node->sent, &request->attempt_id);
 	}
 	dws_count(node, DWS_COUNT_ATTEMPTS);
+	count_load_age(node, member->vm_id);
 	request->state = DWS_REQUEST_SENT;
 	request->attempt_id = dws_node_next_id(node);
 	g_hash_table_insert(node->sent, &request->attempt_id, request);
