Keep a flood of one urgent kind from shutting out browsing of other services

Each entry held up to 1,024 deposits, which used up the half of the connections beyond which browsing is refused. Ruled out: the queues of the portfolio upstreams (empty). A cap for each urgent kind was weighed: it would refuse deposits while browsing is admitted at the same entry. What: a service may hold 512 waiting requests, and browsing may take three quarters of the connections in place of half.

--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -26,7 +26,7 @@
 	{"max_ledger_entries", offsetof(dws_settings_t, max_ledger_entries), 16,
 	 1000000, 65536},
 	{"max_queue", offsetof(dws_settings_t, max_queue), 1, 100000, 256},
-	{"max_held", offsetof(dws_settings_t, max_held), 0, 100000, 1024},
+	{"max_held", offsetof(dws_settings_t, max_held), 0, 100000, 512},
 	{"upstream_slots", offsetof(dws_settings_t, upstream_slots), 1, 10000,
 	 50},
 	{"ticket_ttl_ms", offsetof(dws_settings_t, ticket_ttl_ms), SECOND_MS,
--- a/src/request/intake.c
+++ b/src/request/intake.c
@@ -9,6 +9,8 @@
 #include <string.h>
 
 #define MAX_CUSTOMER_SIZE 129
+/* Part of the connections that only urgent kinds may take, as a divisor. */
+#define URGENT_DIVISOR 4
 
 /* Frees a request; for the table that owns it. */
 void dws_request_free(gpointer data)
@@ -269,8 +271,8 @@
 }
 
 /*
- * Bounds the requests in flight and the retries of a customer. Kinds that are
- * refused first may take half of the connections at most, so that what waits
+ * Bounds the requests in flight and the retries of a customer. A part of the
+ * connections is kept from kinds that are refused first, so that what waits
  * for room never keeps an urgent caller from being heard.
  */
 static dws_reason_t check_room(dws_node_t *node, const dws_kind_t *kind,
@@ -278,10 +280,10 @@
 {
 	const dws_settings_t *settings = node->settings;
 	const dws_config_t *config = dws_fold_config(node->fold);
-	uint32_t room = MIN(settings->max_calls, settings->max_connections / 2);
+	uint32_t room = MIN(settings->max_calls, settings->max_connections);
 
-	if (kind->priority > 0)
-		room *= 2;
+	if (kind->priority == 0)
+		room -= room / URGENT_DIVISOR;
 	if (g_hash_table_size(node->requests) > room)
 		return DWS_REASON_OVERLOAD;
 	/* A ticket's retries are joined, which costs next to nothing. */
