Test a daemon among hostile callers and peers

Cause: nothing showed with real processes that malformed input is refused with its remedy and that floods take bounded memory.

What: one daemon gets garbage and oversized frames, garbage datagrams, a body over the limit, malformed headers, forged, damaged and expired tickets, 300 slow or silent connections, and 30000 new customer names and tickets; a proper deposit must complete after or during each. A public admin address must end the daemon with status 2 and the remedy.

With the upper bound on the length of a frame taken out of the stream reader, the test fails: the daemon doesn't hang up on two oversized frames and counts fewer bad messages.

--- /dev/null
+++ b/test/failure/hostile.c
@@ -0,0 +1,300 @@
+/*
+ * One daemon among hostile callers and peers: what it can't understand it
+ * refuses with the remedy, what floods in takes bounded memory, and a proper
+ * deposit completes all the while.
+ */
+#include <CUnit/CUnit.h>
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "support/site.h"
+
+#define MEMORY_MAX_BYTES (64LL * 1024 * 1024)
+#define BODY_MAX_BYTES 65536
+#define WAIT_S 60
+#define CONNECTIONS 300
+#define DATAGRAMS 300
+#define FLOOD 30000
+/* One ticket of so many is used. */
+#define USED 3
+#define EXPIRY_US 2500000
+#define SETTINGS                                                               \
+	"probe_interval_ms: 100\nmax_body_bytes: 65536\n"                      \
+	"ticket_ttl_ms: 2000\nmax_ledger_entries: 1000\n"
+
+static site_vm_t *begin(void)
+{
+	site_t *site = site_new("examples/trinacria.yaml");
+	site_vm_t *vm =
+		site_add(site, "one", "a", "deposits", "--fixed", SETTINGS);
+
+	CU_ASSERT_FATAL(site_start(site));
+	return vm;
+}
+
+/* A deposit completes, if not at once; ends the site. */
+static void end(site_vm_t *vm)
+{
+	static const char target[] = "/deposits/pay?order=proper";
+	int64_t deadline = 0;
+	bool complete = false;
+
+	while (!complete && site_waits(&deadline)) {
+		http_exchange_t asked, answer;
+
+		site_call(&asked, vm, "POST", target, "hotel-etna", NULL);
+		site_call(&answer, vm, "POST", target, "hotel-etna",
+			  http_header(&asked, "dogwoodshift-next-ticket"));
+		complete = site_is_complete(&answer, target);
+		http_finish(&asked);
+		http_finish(&answer);
+	}
+	CU_ASSERT(complete);
+	site_free(vm->site);
+}
+
+/* A socket that is connected with a port of the daemon. */
+static int connect_to(int type, uint16_t port)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+				      .sin_port = htons(port)};
+	struct timeval limit = {.tv_sec = WAIT_S};
+	int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	CU_ASSERT_FATAL(
+		connect(fd, (struct sockaddr *)&address, sizeof(address)) == 0);
+	return fd;
+}
+
+/* Sends bytes as the start of a stream; the daemon must hang up. */
+static void send_frames(const site_vm_t *vm, const char *data, size_t size)
+{
+	int fd = connect_to(SOCK_STREAM, vm->frame);
+	char byte;
+
+	CU_ASSERT(send(fd, data, size, MSG_NOSIGNAL) == (ssize_t)size);
+	ssize_t got = recv(fd, &byte, 1, 0);
+
+	CU_ASSERT(got == 0 || (got < 0 && errno == ECONNRESET));
+	close(fd);
+}
+
+static void test_messages(void)
+{
+	site_vm_t *vm = begin();
+	GRand *random = g_rand_new_with_seed(1);
+	int fd = connect_to(SOCK_DGRAM, vm->datagram);
+	int64_t deadline = 0, bad;
+	char junk[1200];
+
+	send_frames(vm, "GET / HTTP/1.1\r\n\r\n", 18);
+	send_frames(vm, "\xff\xff\xff\xff too large", 14);
+	send_frames(vm, "\0\0\0\0 empty", 10);
+	send_frames(vm, "\0\0\0\4\xff\xff\xff\xff", 8);
+	bad = site_number(vm, "counters", "bad_messages");
+	CU_ASSERT(bad >= 4);
+	for (int i = 0; i < DATAGRAMS; i++) {
+		for (size_t j = 0; j < sizeof(junk); j++)
+			junk[j] = (char)g_rand_int(random);
+		(void)send(fd, junk, 1 + (size_t)i * 3, 0);
+	}
+	while (site_number(vm, "counters", "bad_messages") <= bad &&
+	       site_waits(&deadline))
+		;
+	CU_ASSERT(site_number(vm, "counters", "bad_messages") > bad);
+	close(fd);
+	g_rand_free(random);
+	end(vm);
+}
+
+/* Sends a request with two headers; it must be refused with the remedy. */
+static void refused(const site_vm_t *vm, const char *header, const char *body,
+		    long status, const char *remedy)
+{
+	const char *const headers[] = {"Content-Type: text/plain", header,
+				       NULL};
+	char *url = g_strdup_printf("http://127.0.0.1:%u/deposits/pay?order=no",
+				    vm->callers);
+	http_exchange_t answer;
+
+	http_init(&answer, "POST", url, body, 30000, headers);
+	http_run(&answer);
+	if (answer.status != status || !strstr(answer.body->str, remedy) ||
+	    !site_has_outcome(&answer, "not-run")) {
+		printf("%s: %ld %s\n", header, answer.status, answer.body->str);
+		CU_FAIL("not refused as it should be");
+	}
+	http_finish(&answer);
+	g_free(url);
+}
+
+static void test_requests(void)
+{
+	site_vm_t *vm = begin();
+	char *large = g_strnfill(BODY_MAX_BYTES + 1, 'x');
+	char *ticket = site_ticket(vm, "/deposits/pay?order=no");
+	char *header = g_strdup_printf("Dogwoodshift-Ticket: %s", ticket);
+	char *mac = g_strrstr(header, ".") - 1;
+	char digit = *mac;
+
+	refused(vm, "X: y", large, 413, "send a smaller one");
+	refused(vm, "Dogwoodshift-Customer: a b", "", 400, "send 1 to 128");
+	refused(vm, "Dogwoodshift-Timeout-Ms: soon", "", 400, "send 1 to");
+	refused(vm, "Dogwoodshift-Timeout-Ms: -5", "", 400, "send 1 to");
+	refused(vm, "Dogwoodshift-Ticket: a b", "", 400, "send it as it came");
+	refused(vm, "Dogwoodshift-Ticket: 1.2.3", "", 400, "pass on the");
+	*mac = digit == '0' ? '1' : '0';
+	refused(vm, header, "", 400, "pass on the");
+	*mac = digit;
+	g_usleep(EXPIRY_US);
+	refused(vm, header, "", 410, "ticket");
+	CU_ASSERT_EQUAL(site_count(vm->site, "start", "/deposits/pay?order=no"),
+			0);
+	g_free(large);
+	g_free(ticket);
+	g_free(header);
+	end(vm);
+}
+
+/* Callers that say nothing, half a head, or half a body. */
+static void test_connections(void)
+{
+	static const char *const starts[] = {
+		"", "POST /deposits/pay HTTP/1.1\r\nHost: a",
+		"POST /deposits/pay HTTP/1.1\r\nHost: a\r\n"
+		"Content-Length: 9\r\n\r\nhalf"};
+	site_vm_t *vm = begin();
+	int fds[CONNECTIONS];
+
+	for (int i = 0; i < CONNECTIONS; i++) {
+		const char *start = starts[i % G_N_ELEMENTS(starts)];
+
+		fds[i] = connect_to(SOCK_STREAM, vm->callers);
+		(void)send(fds[i], start, strlen(start), MSG_NOSIGNAL);
+	}
+	end(vm);
+	for (int i = 0; i < CONNECTIONS; i++)
+		close(fds[i]);
+}
+
+/* Sends a request of a new customer on a connection; copies the answer. */
+static void ask(int fd, int customer, const char *ticket, char *answer,
+		size_t size)
+{
+	char *request = g_strdup_printf(
+		"POST /deposits/pay?order=%d HTTP/1.1\r\nHost: a\r\n"
+		"Dogwoodshift-Customer: customer-%d\r\n%s%s%s"
+		"Content-Length: 0\r\n\r\n",
+		customer, customer, ticket ? "Dogwoodshift-Ticket: " : "",
+		ticket ? ticket : "", ticket ? "\r\n" : "");
+	const char *body = NULL;
+	size_t got = 0;
+
+	CU_ASSERT(send(fd, request, strlen(request), MSG_NOSIGNAL) > 0);
+	answer[0] = '\0';
+	while (!body || !g_str_has_suffix(body, "\n")) {
+		ssize_t more = recv(fd, answer + got, size - got - 1, 0);
+
+		CU_ASSERT_FATAL(more > 0);
+		got += (size_t)more;
+		answer[got] = '\0';
+		body = strstr(answer, "\r\n\r\n");
+		body = body && body[4] ? body + 4 : NULL;
+	}
+	g_free(request);
+}
+
+static int64_t memory_bytes(const site_vm_t *vm)
+{
+	char *file = g_strdup_printf("/proc/%d/statm", vm->daemon.pid);
+	char *text = NULL, *rest = NULL;
+
+	CU_ASSERT_FATAL(g_file_get_contents(file, &text, NULL, NULL));
+	g_ascii_strtoll(text, &rest, 10);
+	int64_t pages = g_ascii_strtoll(rest, NULL, 10);
+
+	g_free(text);
+	g_free(file);
+	return pages * sysconf(_SC_PAGESIZE);
+}
+
+static void test_flood(void)
+{
+	static const char name[] = "Dogwoodshift-Next-Ticket: ";
+	site_vm_t *vm = begin();
+	int fd = connect_to(SOCK_STREAM, vm->callers);
+	int64_t most_bytes = 0;
+	char answer[4096];
+
+	site_upstream(vm, "service_ms=0");
+	for (int i = 0; i < FLOOD; i++) {
+		ask(fd, i, NULL, answer, sizeof(answer));
+		const char *at = strstr(answer, name);
+
+		if (at && i % USED == 0) {
+			char *ticket =
+				g_strndup(at + strlen(name),
+					  strcspn(at + strlen(name), "\r"));
+
+			ask(fd, i, ticket, answer, sizeof(answer));
+			g_free(ticket);
+		}
+		if (i % 500 == 499)
+			most_bytes = MAX(most_bytes, memory_bytes(vm));
+	}
+	printf("memory_bytes=%" G_GINT64_FORMAT " ", most_bytes);
+	CU_ASSERT(most_bytes > 0 && most_bytes < MEMORY_MAX_BYTES);
+	close(fd);
+	end(vm);
+}
+
+static void test_settings(void)
+{
+	char *build = g_strdup(g_getenv("DWS_BUILD_DIR"));
+	char *program =
+		g_strdup_printf("%s/dogwoodshiftd", build ? build : "build");
+	char *file = NULL, *errors = NULL;
+	int fd = g_file_open_tmp("settings-XXXXXX", &file, NULL), status = 0;
+	char *arguments[] = {program, "--settings", file, NULL};
+
+	CU_ASSERT_FATAL(fd >= 0);
+	close(fd);
+	CU_ASSERT(g_file_set_contents(
+		file,
+		"vm_id: one\nzone: a\nregion: palermo\n"
+		"callers_listen: 127.0.0.1:0\nupstream_listen: 127.0.0.1:0\n"
+		"admin_listen: 0.0.0.0:9\nframe_listen: 127.0.0.1:0\n"
+		"datagram_listen: 127.0.0.1:0\n",
+		-1, NULL));
+	CU_ASSERT(g_spawn_sync(NULL, arguments, NULL, G_SPAWN_DEFAULT, NULL,
+			       NULL, NULL, &errors, &status, NULL));
+	CU_ASSERT(WIFEXITED(status) && WEXITSTATUS(status) == 2);
+	CU_ASSERT(strstr(errors, "admin_listen") &&
+		  strstr(errors, "add admin_any_address: true"));
+	unlink(file);
+	g_free(errors);
+	g_free(file);
+	g_free(program);
+	g_free(build);
+}
+
+int main(void)
+{
+	static const site_test_t tests[] = {
+		{"malformed messages", test_messages},
+		{"malformed requests", test_requests},
+		{"slow connections", test_connections},
+		{"flood of names and tickets", test_flood},
+		{"public admin address", test_settings},
+		{NULL, NULL},
+	};
+
+	return site_main("hostile", tests);
+}
