--- a/src/request/outgoing.c
+++ b/src/request/outgoing.c
@@ -48,9 +48,9 @@
 	uint64_t displaced = 0;
 	dws_queue_item_t item = {
 		.id = request->id,
-		.kind = dws_kind_number(node, request->kind.name),
+		.kind = dws_kind_number(node, request->context.root_kind),
 		.priority = request->kind.priority,
-		.worth = MAX(request->kind.worth, 1),
+		.worth = request->context.root_worth,
 		.enqueued_us = node->now_us,
 		.deadline_us = request->context.deadline_us,
 	};
@@ -101,7 +101,6 @@
 		.is_local = true,
 		.kind = request->kind.name,
 		.priority = request->kind.priority,
-		.worth = request->kind.worth,
 		.idempotent = request->kind.idempotent,
 		.context = attempt_context(node, request)};
 
@@ -126,13 +125,22 @@
 	execute.request = &wire_request;
 	execute.idempotent = request->kind.idempotent;
 	execute.priority = request->kind.priority;
-	execute.worth = request->kind.worth;
 	envelope.body_case = DWS__ENVELOPE__BODY_EXECUTE;
 	envelope.execute = &execute;
 	dws_envelope_send(node, &request->target, request->target_epoch,
 			  &envelope);
 }
 
+/* Notes how old the word was by which the endpoint was chosen. */
+static void count_load_age(dws_node_t *node, const char *vm_id)
+{
+	int64_t age_us = dws_routing_load_age_us(node->routing, node->now_us,
+						 vm_id);
+
+	if (age_us >= 0)
+		dws_counters_time(&node->counters, DWS_HIST_LOAD_AGE, age_us);
+}
+
 /* Sends a request to the chosen endpoint as a new attempt. */
 static void send(dws_node_t *node, dws_request_t *request,
 		 const dws_member_t *member)
@@ -148,6 +156,7 @@
 		g_hash_table_remove(node->sent, &request->attempt_id);
 	}
 	dws_count(node, DWS_COUNT_ATTEMPTS);
+	count_load_age(node, member->vm_id);
 	request->state = DWS_REQUEST_SENT;
 	request->attempt_id = dws_node_next_id(node);
 	g_hash_table_insert(node->sent, &request->attempt_id, request);
