--- a/scripts/measure.awk
+++ b/scripts/measure.awk
@@ -3,7 +3,8 @@
 # each upstream. Prints a summary line and appends a row per kind and phase.
 #
 # Times are seconds since the start of the load. A request belongs to the
-# phase and to the interval in which it was sent.
+# phase and to the interval in which it was sent, but goodput counts answers
+# in the phase in which they came.
 
 BEGIN {
 	BIN_S = 0.5
@@ -80,6 +81,7 @@
 	outcomes[key, good ? "complete" : outcome == "complete" ? "failed" : \
 		outcome == "" ? "lost" : outcome]++
 	if (good) {
+		worth_ended[phase_of(at_s + latency_ms / 1000)] += worth[kind]
 		bin = int(latency_ms / STEP_MS)
 		times[key, bin]++
 		if (bin > longest[key])
@@ -118,12 +120,9 @@
 	return s ? c / s : 0
 }
 
-# Worth of whole requests per second.
-function goodput(phase, seconds,    k, sum) {
-	for (k = 1; k <= kinds; k++)
-		sum += worth[k] * (outcomes["base", phase, k, "complete"] + \
-			outcomes["flood", phase, k, "complete"])
-	return sum / seconds
+# Worth of whole requests per second, by the time of their answer.
+function goodput(phase, seconds) {
+	return worth_ended[phase] / seconds
 }
 
 # Seconds from the end of the disturbance until what is sent completes again.
