Run all CUnit programs by one function

Each test program set up, ran and ended CUnit on its own; four forms of the same lines. The number of assertions of each program is the same as before.

--- a/test/failure/chain.c
+++ b/test/failure/chain.c
@@ -107,7 +107,7 @@
 
 int main(void)
 {
-	static const site_test_t tests[] = {
+	static const suite_test_t tests[] = {
 		{"whole", test_whole},
 		{"lost deposit, keys", test_lost_deposit_with_keys},
 		{"lost deposit, no keys", test_lost_deposit_without_keys},
--- a/test/failure/hostile.c
+++ b/test/failure/hostile.c
@@ -287,7 +287,7 @@
 
 int main(void)
 {
-	static const site_test_t tests[] = {
+	static const suite_test_t tests[] = {
 		{"malformed messages", test_messages},
 		{"malformed requests", test_requests},
 		{"slow connections", test_connections},
--- a/test/failure/mixed.c
+++ b/test/failure/mixed.c
@@ -487,8 +487,8 @@
 
 int main(void)
 {
-	static const site_test_t tests[] = {{"seeds", test_seeds},
-					    {NULL, NULL}};
+	static const suite_test_t tests[] = {{"seeds", test_seeds},
+					     {NULL, NULL}};
 
 	return site_main("mixed faults", tests);
 }
--- a/test/failure/not_run.c
+++ b/test/failure/not_run.c
@@ -204,7 +204,7 @@
 
 int main(void)
 {
-	static const site_test_t tests[] = {
+	static const suite_test_t tests[] = {
 		{"overload", test_overload},
 		{"upstream sheds", test_upstream_sheds},
 		{"drain", test_drain},
--- a/test/failure/once_faults.c
+++ b/test/failure/once_faults.c
@@ -227,9 +227,9 @@
 
 int main(void)
 {
-	site_test_t tests[G_N_ELEMENTS(cases) + 1] = {{NULL, NULL}};
+	suite_test_t tests[G_N_ELEMENTS(cases) + 1] = {{NULL, NULL}};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
-		tests[i] = (site_test_t){cases[i].name, run_next_case};
+		tests[i] = (suite_test_t){cases[i].name, run_next_case};
 	return site_main("at most once", tests);
 }
--- a/test/failure/versions.c
+++ b/test/failure/versions.c
@@ -199,7 +199,7 @@
 
 int main(void)
 {
-	static const site_test_t tests[] = {
+	static const suite_test_t tests[] = {
 		{"racing patches", test_race},
 		{"stale platform", test_stale_platform},
 		{"partition", test_partition},
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -507,18 +507,8 @@
 }
 
 /* Runs the tests of one program in their order. */
-int site_main(const char *suite_name, const site_test_t *tests)
+int site_main(const char *suite_name, const suite_test_t *tests)
 {
-	CU_initialize_registry();
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	CU_pSuite suite = CU_add_suite(suite_name, NULL, NULL);
-
-	for (; tests->name; tests++)
-		CU_add_test(suite, tests->name, tests->run);
-	CU_basic_set_mode(CU_BRM_VERBOSE);
-	CU_basic_run_tests();
-	unsigned int failures = CU_get_number_of_failures();
-
-	CU_cleanup_registry();
-	return failures ? 1 : 0;
+	return suite_main(suite_name, tests);
 }
--- a/test/support/site.h
+++ b/test/support/site.h
@@ -6,6 +6,7 @@
 #ifndef DWS_TEST_SITE_H
 #define DWS_TEST_SITE_H
 
+#include "support/suite.h"
 #include <glib.h>
 #include <stdbool.h>
 #include <sys/types.h>
@@ -105,10 +106,6 @@
 bool site_waits(int64_t *deadline_us);
 
 /* Runs named tests with CUnit; the exit status of the program. */
-typedef struct site_test {
-	const char *name;
-	void (*run)(void);
-} site_test_t;
-int site_main(const char *suite, const site_test_t *tests);
+int site_main(const char *suite, const suite_test_t *tests);
 
 #endif
--- a/test/unit/io_loop.h
+++ b/test/unit/io_loop.h
@@ -4,12 +4,12 @@
 #ifndef DWS_TEST_UNIT_IO_LOOP_H
 #define DWS_TEST_UNIT_IO_LOOP_H
 
-#include <CUnit/Basic.h>
 #include <errno.h>
 #include <ev.h>
 #include <string.h>
 #include <unistd.h>
 #include "connection/address_io.h"
+#include "support/suite.h"
 
 #define IO_LIMIT_S 30.0
 
@@ -85,19 +85,4 @@
 	return g_string_free(text, FALSE);
 }
 
-/* Runs all tests of a list that ends with a test without a name. */
-static inline int io_run_tests(const char *name, CU_TestInfo *tests)
-{
-	CU_SuiteInfo suites[] = {{name, NULL, NULL, NULL, NULL, tests},
-				 CU_SUITE_INFO_NULL};
-
-	CU_initialize_registry();
-	CU_register_suites(suites);
-	CU_basic_run_tests();
-	unsigned int failures = CU_get_number_of_failures();
-
-	CU_cleanup_registry();
-	return failures ? 1 : 0;
-}
-
 #endif
--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -1,8 +1,8 @@
 /*
  * What a queued request is given up for: too little time for its kind.
  */
-#include <CUnit/Basic.h>
 #include "request/admission.h"
+#include "support/suite.h"
 
 #define RUN_US (10 * DWS_US_PER_MS)
 #define TIMEOUT_US (100 * DWS_US_PER_MS)
@@ -44,13 +44,10 @@
 
 int main(void)
 {
-	CU_initialize_registry();
-	CU_pSuite suite = CU_add_suite("admission", NULL, NULL);
+	static const suite_test_t tests[] = {
+		{"given up", test_request_is_given_up_early},
+		{NULL, NULL},
+	};
 
-	CU_add_test(suite, "given up", test_request_is_given_up_early);
-	CU_basic_run_tests();
-	unsigned int failures = CU_get_number_of_failures();
-
-	CU_cleanup_registry();
-	return failures ? 1 : 0;
+	return suite_main("admission", tests);
 }
--- a/test/unit/test_config.c
+++ b/test/unit/test_config.c
@@ -1,8 +1,8 @@
 /*
  * Configurations: which documents are valid, and the kind of a request.
  */
-#include <CUnit/Basic.h>
 #include "version/config.h"
+#include "support/suite.h"
 
 static const char good[] =
 	"services: {shop: {slots: 55}, bank: {}}\n"
@@ -122,15 +122,12 @@
 
 int main(void)
 {
-	CU_initialize_registry();
-	CU_pSuite suite = CU_add_suite("config", NULL, NULL);
-
-	CU_add_test(suite, "values", test_values_and_defaults);
-	CU_add_test(suite, "match", test_match);
-	CU_add_test(suite, "faults", test_faults);
-	CU_basic_run_tests();
-	unsigned int failures = CU_get_number_of_failures();
+	static const suite_test_t tests[] = {
+		{"values", test_values_and_defaults},
+		{"match", test_match},
+		{"faults", test_faults},
+		{NULL, NULL},
+	};
 
-	CU_cleanup_registry();
-	return failures ? 1 : 0;
+	return suite_main("config", tests);
 }
--- a/test/unit/test_counters.c
+++ b/test/unit/test_counters.c
@@ -1,9 +1,9 @@
 /*
  * Counters add up, histograms put each duration into the right bucket.
  */
-#include <CUnit/Basic.h>
 #include <string.h>
 #include "process/counters.h"
+#include "support/suite.h"
 
 static void test_counters_are_named_apart(void)
 {
@@ -44,14 +44,11 @@
 
 int main(void)
 {
-	CU_initialize_registry();
-	CU_pSuite suite = CU_add_suite("counters", NULL, NULL);
+	static const suite_test_t tests[] = {
+		{"names", test_counters_are_named_apart},
+		{"text", test_text},
+		{NULL, NULL},
+	};
 
-	CU_add_test(suite, "names", test_counters_are_named_apart);
-	CU_add_test(suite, "text", test_text);
-	CU_basic_run_tests();
-	unsigned int failures = CU_get_number_of_failures();
-
-	CU_cleanup_registry();
-	return failures ? 1 : 0;
+	return suite_main("counters", tests);
 }
--- a/test/unit/test_document.c
+++ b/test/unit/test_document.c
@@ -1,8 +1,8 @@
 /*
  * Documents: what the parser refuses, canonical text, and merge.
  */
-#include <CUnit/Basic.h>
 #include "version/document.h"
+#include "support/suite.h"
 
 /* Parses a text that must be good. */
 static dws_value_t *parse(const char *text)
@@ -154,17 +154,11 @@
 
 int main(void)
 {
-	CU_initialize_registry();
-	CU_pSuite suite = CU_add_suite("document", NULL, NULL);
-
-	CU_add_test(suite, "refused", test_refused_texts);
-	CU_add_test(suite, "bounds", test_bounds);
-	CU_add_test(suite, "canonical", test_canonical_text);
-	CU_add_test(suite, "merge", test_merge);
-	CU_add_test(suite, "count", test_count_is_the_parsers);
-	CU_basic_run_tests();
-	unsigned int failures = CU_get_number_of_failures();
-
-	CU_cleanup_registry();
-	return failures ? 1 : 0;
+	static const suite_test_t tests[] = {
+		{"refused", test_refused_texts},      {"bounds", test_bounds},
+		{"canonical", test_canonical_text},   {"merge", test_merge},
+		{"count", test_count_is_the_parsers}, {NULL, NULL},
+	};
+
+	return suite_main("document", tests);
 }
--- a/test/unit/test_fold.c
+++ b/test/unit/test_fold.c
@@ -1,9 +1,9 @@
 /*
  * Folding of the log: verdicts, bounds, and what is never taken.
  */
-#include <CUnit/Basic.h>
 #include "version/fold.h"
 #include "version/patch.h"
+#include "support/suite.h"
 
 #define KIND "kinds: {k: {service: s, priority: 1, idempotent: true}}"
 #define FIRST                                                                  \
@@ -241,17 +241,14 @@
 
 int main(void)
 {
-	CU_initialize_registry();
-	CU_pSuite suite = CU_add_suite("fold", NULL, NULL);
-
-	CU_add_test(suite, "racing", test_racing_patches);
-	CU_add_test(suite, "refused", test_what_is_not_taken);
-	CU_add_test(suite, "bounds", test_bounds);
-	CU_add_test(suite, "too large", test_too_large_results);
-	CU_add_test(suite, "printed", test_printed_entries_fold);
-	CU_basic_run_tests();
-	unsigned int failures = CU_get_number_of_failures();
+	static const suite_test_t tests[] = {
+		{"racing", test_racing_patches},
+		{"refused", test_what_is_not_taken},
+		{"bounds", test_bounds},
+		{"too large", test_too_large_results},
+		{"printed", test_printed_entries_fold},
+		{NULL, NULL},
+	};
 
-	CU_cleanup_registry();
-	return failures ? 1 : 0;
+	return suite_main("fold", tests);
 }
--- a/test/unit/test_frame_stream.c
+++ b/test/unit/test_frame_stream.c
@@ -184,13 +184,13 @@
 
 int main(void)
 {
-	CU_TestInfo tests[] = {
+	static const suite_test_t tests[] = {
 		{"split and joined", test_split_and_joined},
 		{"malformed", test_malformed},
 		{"order", test_order_between_peers},
 		{"lost", test_lost},
-		CU_TEST_INFO_NULL,
+		{NULL, NULL},
 	};
 
-	return io_run_tests("frame streams", tests);
+	return suite_main("frame streams", tests);
 }
--- a/test/unit/test_io_http_client.c
+++ b/test/unit/test_io_http_client.c
@@ -209,12 +209,12 @@
 
 int main(void)
 {
-	CU_TestInfo tests[] = {
+	static const suite_test_t tests[] = {
 		{"dispatch", test_dispatch},
 		{"not sent", test_not_sent},
 		{"platform", test_platform},
-		CU_TEST_INFO_NULL,
+		{NULL, NULL},
 	};
 
-	return io_run_tests("HTTP client", tests);
+	return suite_main("HTTP client", tests);
 }
--- a/test/unit/test_io_http_server.c
+++ b/test/unit/test_io_http_server.c
@@ -239,14 +239,14 @@
 
 int main(void)
 {
-	CU_TestInfo tests[] = {
+	static const suite_test_t tests[] = {
 		{"heads", test_heads},
 		{"refused heads", test_refused_heads},
 		{"order", test_order},
 		{"hang-up and stop", test_hang_up_and_stop},
 		{"refusal is JSON", test_refusal_is_json},
-		CU_TEST_INFO_NULL,
+		{NULL, NULL},
 	};
 
-	return io_run_tests("HTTP server", tests);
+	return suite_main("HTTP server", tests);
 }
--- a/test/unit/test_limit.c
+++ b/test/unit/test_limit.c
@@ -3,8 +3,8 @@
  * or at random, takes exponential times and shares the upstream's real
  * capacity, which need not be the configured slots.
  */
-#include <CUnit/Basic.h>
 #include "request/limit.h"
+#include "support/suite.h"
 
 #define SLOTS 55
 #define MAX_RUNNING 64
@@ -184,13 +184,10 @@
 
 int main(void)
 {
-	CU_initialize_registry();
-	CU_pSuite suite = CU_add_suite("limit", NULL, NULL);
-
-	CU_add_test(suite, "adaptive", test_adaptive);
-	CU_basic_run_tests();
-	unsigned int failures = CU_get_number_of_failures();
+	static const suite_test_t tests[] = {
+		{"adaptive", test_adaptive},
+		{NULL, NULL},
+	};
 
-	CU_cleanup_registry();
-	return failures ? 1 : 0;
+	return suite_main("limit", tests);
 }
--- a/test/unit/test_membership.c
+++ b/test/unit/test_membership.c
@@ -3,9 +3,9 @@
  * platform's list, hostile datagrams and the cost of it all, on a clock of
  * the test.
  */
-#include <CUnit/Basic.h>
 #include <string.h>
 #include "support/membership_fleet.h"
+#include "support/suite.h"
 
 #define WALL_MS 1000000
 #define S DWS_US_PER_S
@@ -318,30 +318,23 @@
 
 int main(void)
 {
-	CU_initialize_registry();
-	CU_pSuite suite = CU_add_suite("membership", NULL, NULL);
-
-	CU_add_test(suite, "join", test_joins_fails_and_returns_despite_losses);
-	CU_add_test(suite, "pause",
-		    test_paused_process_blames_nobody_and_refutes);
-	CU_add_test(suite, "leaving",
-		    test_leaving_is_known_to_all_within_two_seconds);
-	CU_add_test(suite, "replacement", test_new_process_takes_a_vm_id_over);
-	CU_add_test(suite, "restart",
-		    test_restarted_process_outlives_its_former_self);
-	CU_add_test(suite, "partition", test_halves_of_a_healed_partition_meet);
-	CU_add_test(suite, "list", test_list_is_taken_whole_or_not);
-	CU_add_test(suite, "lagging list",
-		    test_absence_from_the_list_kills_nobody_who_answers);
-	CU_add_test(suite, "hostile datagrams",
-		    test_hostile_datagrams_are_refused_and_memory_is_bounded);
-	CU_add_test(suite, "readers",
-		    test_each_zone_has_two_readers_also_after_a_failure);
-	CU_add_test(suite, "cost",
-		    test_cost_stays_small_and_a_sequence_spreads);
-	CU_basic_run_tests();
-	unsigned int failures = CU_get_number_of_failures();
-
-	CU_cleanup_registry();
-	return failures ? 1 : 0;
+	static const suite_test_t tests[] = {
+		{"join", test_joins_fails_and_returns_despite_losses},
+		{"pause", test_paused_process_blames_nobody_and_refutes},
+		{"leaving", test_leaving_is_known_to_all_within_two_seconds},
+		{"replacement", test_new_process_takes_a_vm_id_over},
+		{"restart", test_restarted_process_outlives_its_former_self},
+		{"partition", test_halves_of_a_healed_partition_meet},
+		{"list", test_list_is_taken_whole_or_not},
+		{"lagging list",
+		 test_absence_from_the_list_kills_nobody_who_answers},
+		{"hostile datagrams",
+		 test_hostile_datagrams_are_refused_and_memory_is_bounded},
+		{"readers",
+		 test_each_zone_has_two_readers_also_after_a_failure},
+		{"cost", test_cost_stays_small_and_a_sequence_spreads},
+		{NULL, NULL},
+	};
+
+	return suite_main("membership", tests);
 }
--- a/test/unit/test_names.c
+++ b/test/unit/test_names.c
@@ -1,8 +1,8 @@
 /*
  * Every public enumeration value has a name of its own.
  */
-#include <CUnit/Basic.h>
 #include "dogwoodshift.h"
+#include "support/suite.h"
 
 static void test_reasons_are_named_apart(void)
 {
@@ -17,13 +17,10 @@
 
 int main(void)
 {
-	CU_initialize_registry();
-	CU_pSuite suite = CU_add_suite("names", NULL, NULL);
+	static const suite_test_t tests[] = {
+		{"reasons", test_reasons_are_named_apart},
+		{NULL, NULL},
+	};
 
-	CU_add_test(suite, "reasons", test_reasons_are_named_apart);
-	CU_basic_run_tests();
-	unsigned int failures = CU_get_number_of_failures();
-
-	CU_cleanup_registry();
-	return failures ? 1 : 0;
+	return suite_main("names", tests);
 }
--- a/test/unit/test_node.c
+++ b/test/unit/test_node.c
@@ -1,12 +1,12 @@
 /*
  * A node alone, driven through the public header with a hand-moved clock.
  */
-#include <CUnit/Basic.h>
 #include <string.h>
 
 #include "connection/wire.pb-c.h"
 #include "process/counters.h"
 #include "process/settings.h"
+#include "support/suite.h"
 
 #define START_US (1000 * DWS_US_PER_S)
 
@@ -466,25 +466,20 @@
 
 int main(void)
 {
-	CU_initialize_registry();
-	CU_pSuite suite = CU_add_suite("node", NULL, NULL);
-
-	CU_add_test(suite, "browsing", test_browsing_is_answered);
-	CU_add_test(suite, "order", test_order_needs_a_ticket_and_runs_once);
-	CU_add_test(suite, "lost", test_lost_answer_is_unknown_for_good);
-	CU_add_test(suite, "forged", test_forged_ticket_is_refused);
-	CU_add_test(suite, "refused", test_refused_ticket_never_runs);
-	CU_add_test(suite, "hang-up",
-		    test_hang_up_cancels_only_idempotent_work);
-	CU_add_test(suite, "customer retries",
-		    test_retries_of_a_customer_are_bounded);
-	CU_add_test(suite, "charged", test_nested_calls_of_a_retry_are_charged);
-	CU_add_test(suite, "fence", test_refused_submit_is_fenced);
-	CU_add_test(suite, "room", test_browsing_leaves_room_for_urgent_calls);
-	CU_add_test(suite, "paused", test_deadline_passes_while_paused);
-	CU_basic_run_tests();
-	unsigned int failures = CU_get_number_of_failures();
-
-	CU_cleanup_registry();
-	return failures ? 1 : 0;
+	static const suite_test_t tests[] = {
+		{"browsing", test_browsing_is_answered},
+		{"order", test_order_needs_a_ticket_and_runs_once},
+		{"lost", test_lost_answer_is_unknown_for_good},
+		{"forged", test_forged_ticket_is_refused},
+		{"refused", test_refused_ticket_never_runs},
+		{"hang-up", test_hang_up_cancels_only_idempotent_work},
+		{"customer retries", test_retries_of_a_customer_are_bounded},
+		{"charged", test_nested_calls_of_a_retry_are_charged},
+		{"fence", test_refused_submit_is_fenced},
+		{"room", test_browsing_leaves_room_for_urgent_calls},
+		{"paused", test_deadline_passes_while_paused},
+		{NULL, NULL},
+	};
+
+	return suite_main("node", tests);
 }
--- a/test/unit/test_queue.c
+++ b/test/unit/test_queue.c
@@ -1,8 +1,8 @@
 /*
  * Shares by worth among the kinds of one priority, on an example.
  */
-#include <CUnit/Basic.h>
 #include "request/queue.h"
+#include "support/suite.h"
 
 /* A flood of one kind leaves another kind its share by worth. */
 static void test_shares_follow_worth(void)
@@ -28,13 +28,10 @@
 
 int main(void)
 {
-	CU_initialize_registry();
-	CU_pSuite suite = CU_add_suite("queue", NULL, NULL);
+	static const suite_test_t tests[] = {
+		{"shares", test_shares_follow_worth},
+		{NULL, NULL},
+	};
 
-	CU_add_test(suite, "shares", test_shares_follow_worth);
-	CU_basic_run_tests();
-	unsigned int failures = CU_get_number_of_failures();
-
-	CU_cleanup_registry();
-	return failures ? 1 : 0;
+	return suite_main("queue", tests);
 }
--- a/test/unit/test_routing.c
+++ b/test/unit/test_routing.c
@@ -1,10 +1,10 @@
 /*
  * Choice of a member for a call, over a membership that pings fill.
  */
-#include <CUnit/Basic.h>
 #include <string.h>
 #include "process/routing.h"
 #include "support/membership_fleet.h"
+#include "support/suite.h"
 
 #define MS DWS_US_PER_MS
 
@@ -213,21 +213,17 @@
 
 int main(void)
 {
-	CU_initialize_registry();
-	CU_pSuite suite = CU_add_suite("routing", NULL, NULL);
-
-	CU_add_test(suite, "rings",
-		    test_nearer_rings_go_first_until_they_are_busy);
-	CU_add_test(suite, "stale advice",
-		    test_stale_advice_is_tried_by_one_call_at_a_time);
-	CU_add_test(suite, "lost answers",
-		    test_lost_answers_keep_calls_away_for_longer_each_time);
-	CU_add_test(suite, "states",
-		    test_leaving_and_dead_are_never_taken_and_suspects_last);
-	CU_add_test(suite, "load", test_the_less_loaded_of_two_is_taken);
-	CU_basic_run_tests();
-	unsigned int failures = CU_get_number_of_failures();
-
-	CU_cleanup_registry();
-	return failures ? 1 : 0;
+	static const suite_test_t tests[] = {
+		{"rings", test_nearer_rings_go_first_until_they_are_busy},
+		{"stale advice",
+		 test_stale_advice_is_tried_by_one_call_at_a_time},
+		{"lost answers",
+		 test_lost_answers_keep_calls_away_for_longer_each_time},
+		{"states",
+		 test_leaving_and_dead_are_never_taken_and_suspects_last},
+		{"load", test_the_less_loaded_of_two_is_taken},
+		{NULL, NULL},
+	};
+
+	return suite_main("routing", tests);
 }
--- a/test/unit/test_settings.c
+++ b/test/unit/test_settings.c
@@ -1,8 +1,8 @@
 /*
  * Settings: defaults, and every fault in one message.
  */
-#include <CUnit/Basic.h>
 #include "process/settings.h"
+#include "support/suite.h"
 
 static const char good[] = "vm_id: vm-1\n"
 			   "zone: a\n"
@@ -133,16 +133,13 @@
 
 int main(void)
 {
-	CU_initialize_registry();
-	CU_pSuite suite = CU_add_suite("settings", NULL, NULL);
-
-	CU_add_test(suite, "defaults", test_defaults_and_values);
-	CU_add_test(suite, "faults", test_faults);
-	CU_add_test(suite, "all faults", test_all_faults_at_once);
-	CU_add_test(suite, "admin", test_admin_elsewhere);
-	CU_basic_run_tests();
-	unsigned int failures = CU_get_number_of_failures();
+	static const suite_test_t tests[] = {
+		{"defaults", test_defaults_and_values},
+		{"faults", test_faults},
+		{"all faults", test_all_faults_at_once},
+		{"admin", test_admin_elsewhere},
+		{NULL, NULL},
+	};
 
-	CU_cleanup_registry();
-	return failures ? 1 : 0;
+	return suite_main("settings", tests);
 }
--- a/test/unit/test_slowdown.c
+++ b/test/unit/test_slowdown.c
@@ -1,8 +1,8 @@
 /*
  * Planned slowdowns reach only customers who were called for exactly them.
  */
-#include <CUnit/Basic.h>
 #include "version/config.h"
+#include "support/suite.h"
 
 #define RECORD "2027-03-01T02:00:00Z/2027-03-01T03:00:00Z/browse+list"
 #define START_MS 1803866400000LL
@@ -105,14 +105,11 @@
 
 int main(void)
 {
-	CU_initialize_registry();
-	CU_pSuite suite = CU_add_suite("slowdown", NULL, NULL);
-
-	CU_add_test(suite, "called", test_only_called_customers_in_the_window);
-	CU_add_test(suite, "refused", test_refused_plans);
-	CU_basic_run_tests();
-	unsigned int failures = CU_get_number_of_failures();
+	static const suite_test_t tests[] = {
+		{"called", test_only_called_customers_in_the_window},
+		{"refused", test_refused_plans},
+		{NULL, NULL},
+	};
 
-	CU_cleanup_registry();
-	return failures ? 1 : 0;
+	return suite_main("slowdown", tests);
 }
