Let test programs listen where no outgoing connection can be

Connections to loopback come from 127.0.0.1, so the site now listens on 127.0.0.2. All failure tests and the demo pass.

--- a/test/failure/hostile.c
+++ b/test/failure/hostile.c
@@ -12,6 +12,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "support/ports.h"
 #include "support/site.h"
 
 #define MEMORY_MAX_BYTES (64LL * 1024 * 1024)
@@ -67,7 +68,7 @@
 	int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
 
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_addr.s_addr = inet_addr(LISTEN_IP);
 	CU_ASSERT_FATAL(
 		connect(fd, (struct sockaddr *)&address, sizeof(address)) == 0);
 	return fd;
@@ -120,7 +121,7 @@
 {
 	const char *const headers[] = {"Content-Type: text/plain", header,
 				       NULL};
-	char *url = g_strdup_printf("http://127.0.0.1:%u/deposits/pay?order=no",
+	char *url = g_strdup_printf("http://127.0.0.2:%u/deposits/pay?order=no",
 				    vm->callers);
 	http_exchange_t answer;
 
@@ -269,9 +270,9 @@
 	CU_ASSERT(g_file_set_contents(
 		file,
 		"vm_id: one\nzone: a\nregion: palermo\n"
-		"callers_listen: 127.0.0.1:0\nupstream_listen: 127.0.0.1:0\n"
-		"admin_listen: 0.0.0.0:9\nframe_listen: 127.0.0.1:0\n"
-		"datagram_listen: 127.0.0.1:0\n",
+		"callers_listen: 127.0.0.2:0\nupstream_listen: 127.0.0.2:0\n"
+		"admin_listen: 0.0.0.0:9\nframe_listen: 127.0.0.2:0\n"
+		"datagram_listen: 127.0.0.2:0\n",
 		-1, NULL));
 	CU_ASSERT(g_spawn_sync(NULL, arguments, NULL, G_SPAWN_DEFAULT, NULL,
 			       NULL, NULL, &errors, &status, NULL));
--- a/test/support/ports.c
+++ b/test/support/ports.c
@@ -14,7 +14,7 @@
 	socklen_t length = sizeof(address);
 
 	*fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_addr.s_addr = inet_addr(LISTEN_IP);
 	if (bind(*fd, (struct sockaddr *)&address, sizeof(address)) != 0 ||
 	    getsockname(*fd, (struct sockaddr *)&address, &length) != 0)
 		abort();
--- a/test/support/server.c
+++ b/test/support/server.c
@@ -2,6 +2,7 @@
  * libmicrohttpd in external epoll mode, driven by libev.
  */
 #include "support/server.h"
+#include "support/ports.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -151,7 +152,7 @@
 	struct sockaddr_in address = {
 		.sin_family = AF_INET,
 		.sin_port = htons(port),
-		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+		.sin_addr.s_addr = inet_addr(LISTEN_IP),
 	};
 
 	server->ops = ops;
--- a/test/support/site.c
+++ b/test/support/site.c
@@ -155,7 +155,7 @@
 /* Runs one exchange on loopback and drops its answer's body. */
 static void post(uint16_t port, const char *path, const char *body)
 {
-	char *url = g_strdup_printf("http://127.0.0.1:%u%s", port, path);
+	char *url = g_strdup_printf("http://127.0.0.2:%u%s", port, path);
 	http_exchange_t exchange;
 
 	http_init(&exchange, "POST", url, body, CALL_TIMEOUT_MS, NULL);
@@ -188,7 +188,7 @@
 
 	g_ptr_array_add(arguments, g_strdup_printf("--record=%s", vm->record));
 	g_ptr_array_add(arguments,
-			g_strdup_printf("--listen=%u,daemon=127.0.0.1:%u,"
+			g_strdup_printf("--listen=%u,daemon=127.0.0.2:%u,"
 					"service_ms=5",
 					vm->upstream.ports[0], vm->nested));
 	start(&vm->upstream, arguments, true);
@@ -228,8 +228,8 @@
 
 		if (other != vm)
 			g_string_append_printf(text,
-					       "  - {frame: 127.0.0.1:%u, "
-					       "datagram: 127.0.0.1:%u}\n",
+					       "  - {frame: 127.0.0.2:%u, "
+					       "datagram: 127.0.0.2:%u}\n",
 					       other->frame, other->datagram);
 	}
 	if (text->len > 0)
@@ -244,10 +244,10 @@
 	char *seeds = seeds_of(vm);
 	char *text = g_strdup_printf(
 		"vm_id: %s\nzone: %s\nregion: palermo\nservice: %s\n"
-		"callers_listen: 127.0.0.1:%u\nupstream_listen: 127.0.0.1:%u\n"
-		"admin_listen: 127.0.0.1:%u\nframe_listen: 127.0.0.1:%u\n"
-		"datagram_listen: 127.0.0.1:%u\nupstream: 127.0.0.1:%u\n"
-		"platform: 127.0.0.1:%u\nlog_file: %s\n%s%s",
+		"callers_listen: 127.0.0.2:%u\nupstream_listen: 127.0.0.2:%u\n"
+		"admin_listen: 127.0.0.2:%u\nframe_listen: 127.0.0.2:%u\n"
+		"datagram_listen: 127.0.0.2:%u\nupstream: 127.0.0.2:%u\n"
+		"platform: 127.0.0.2:%u\nlog_file: %s\n%s%s",
 		vm->id, vm->zone, vm->service, vm->callers, vm->nested,
 		vm->admin, vm->frame, vm->datagram, vm->upstream.ports[0],
 		vm->site->platform.ports[0], vm->log, seeds, vm->settings);
@@ -290,7 +290,7 @@
 
 		g_string_append_printf(
 			list,
-			"  - {id: %s, ip: 127.0.0.1, frame_port: %u, "
+			"  - {id: %s, ip: 127.0.0.2, frame_port: %u, "
 			"datagram_port: %u, zone: %s, region: palermo, "
 			"service: %s, state: live}\n",
 			vm->id, vm->frame, vm->datagram, vm->zone, vm->service);
@@ -338,7 +338,7 @@
 /* Reads a page of the admin listener. */
 char *site_admin(const site_vm_t *vm, const char *page)
 {
-	char *url = g_strdup_printf("http://127.0.0.1:%u/%s", vm->admin, page);
+	char *url = g_strdup_printf("http://127.0.0.2:%u/%s", vm->admin, page);
 	http_exchange_t exchange;
 
 	http_init(&exchange, "GET", url, NULL, CALL_TIMEOUT_MS, NULL);
@@ -374,7 +374,7 @@
 		    const char *customer, const char *ticket)
 {
 	char *url =
-		g_strdup_printf("http://127.0.0.1:%u%s", vm->callers, target);
+		g_strdup_printf("http://127.0.0.2:%u%s", vm->callers, target);
 	char *who = g_strdup_printf("Dogwoodshift-Customer: %s", customer);
 	char *which = g_strdup_printf("Dogwoodshift-Ticket: %s",
 				      ticket ? ticket : "");
