Mend the fuzzing oracle for two processes of one VM id

Ruled out: that a lower claim had been taken. What: the oracle now keeps all claims that processes of the id ever made, and a process that gave way must have been outbid by another one. That also covers runs in which no process of the id is left, which the old check passed over.

--- a/test/fuzz/fuzz_membership.c
+++ b/test/fuzz/fuzz_membership.c
@@ -3,8 +3,8 @@
  * processes that start, stop, leave, pause and share a VM id.
  *
  * Oracle: reports of a member never go back in incarnation and epoch, and
- * nobody comes back from the dead without a higher one; of two processes of
- * one VM id the higher incarnation wins; after a quiet time all agree with
+ * nobody comes back from the dead without a higher one; a process of a shared
+ * VM id gives way only to a higher claim; after a quiet time all agree with
  * the truth; garbage crashes nothing.
  *
  * Fuzz runs: 700
@@ -88,22 +88,37 @@
 	}
 }
 
-/* Of two processes of one VM id, the one that gave way is the lower. */
-static void check_winner(const fleet_t *fleet)
+/* Notes how high the claims of the processes of the shared VM id went. */
+static void note_claims(const fleet_t *fleet, GArray *claims)
 {
-	const fleet_node_t *a = fleet_node(fleet, 0);
-	const fleet_node_t *b = fleet_node(fleet, NODES - 1);
+	for (guint i = 0; i < NODES; i += NODES - 1) {
+		const dws_membership_t *membership =
+			fleet_node(fleet, i)->membership;
 
-	if (!a->membership || !b->membership || is_active(a) == is_active(b))
+		if (membership)
+			g_array_append_vals(claims,
+					    dws_membership_self(membership), 1);
+	}
+}
+
+/* A process that gave way gave way to one that had claimed more. */
+static void check_replaced(const fleet_node_t *node, const GArray *claims)
+{
+	if (!node->membership || is_active(node))
 		return;
-	const dws_member_t *winner =
-		dws_membership_self((is_active(a) ? a : b)->membership);
-	const dws_member_t *loser =
-		dws_membership_self((is_active(a) ? b : a)->membership);
-
-	g_assert(winner->incarnation > loser->incarnation ||
-		 (winner->incarnation == loser->incarnation &&
-		  winner->epoch > loser->epoch));
+	const dws_member_t *self = dws_membership_self(node->membership);
+	bool outbid = false;
+
+	for (guint i = 0; i < claims->len; i++) {
+		const dws_member_t *other =
+			&g_array_index(claims, dws_member_t, i);
+
+		outbid |= other->epoch != self->epoch &&
+			  (other->incarnation > self->incarnation ||
+			   (other->incarnation == self->incarnation &&
+			    other->epoch > self->epoch));
+	}
+	g_assert(outbid);
 }
 
 /* Garbage, as datagram and as list, and damaged real datagrams. */
@@ -132,6 +147,7 @@
 {
 	fleet_t *fleet = fleet_new(NODES, 2);
 	GRand *random = g_rand_new_with_seed(0);
+	GArray *claims = g_array_new(FALSE, FALSE, sizeof(dws_member_t));
 
 	for (size_t i = 0; i < size; i++)
 		g_rand_set_seed(random, g_rand_int(random) ^ data[i]);
@@ -150,13 +166,17 @@
 		act(fleet, value % 12,
 		    (guint)g_rand_int_range(random, 0, NODES),
 		    (guint)g_rand_int_range(random, 0, 256));
+		note_claims(fleet, claims);
 	}
 	feed_garbage(fleet, data, size);
 	settle(fleet);
+	note_claims(fleet, claims);
 	g_assert(fleet->order_faults == 0);
 	for (guint vm = 0; vm < NODES - 1; vm++)
 		check_agreement(fleet, vm);
-	check_winner(fleet);
+	check_replaced(fleet_node(fleet, 0), claims);
+	check_replaced(fleet_node(fleet, NODES - 1), claims);
+	g_array_free(claims, TRUE);
 	g_rand_free(random);
 	fleet_free(fleet);
 	return 0;
