Restore the modes of the stand-ins that the mixed test uses

Lag, stale mode, cold start, stalling and ignored cancellation were taken out as unused, while the test of mixed faults, written at the same time, makes the platform stale and upstreams stall.

--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -15,7 +15,7 @@
 	char *text; /* an item of a YAML list */
 } entry_t;
 
-/* What readers see. */
+/* What readers see; a stale platform shows an older one. */
 typedef struct published {
 	uint64_t snapshot_sequence;
 	uint64_t last_sequence;
@@ -29,12 +29,14 @@
 	struct ev_loop *loop;
 	server_t server;
 	published_t now;
+	published_t *shown; /* &now, or an old copy */
 	GPtrArray *waiting; /* reader_t *, until there is news */
 	uint64_t reads;
+	int64_t lag_ms;
 	bool down;
 } platform_t;
 
-/* One read that waits for news. */
+/* One read that waits for news, or for the lag to pass. */
 typedef struct reader {
 	platform_t *platform;
 	server_request_t *request;
@@ -101,8 +103,8 @@
 	server_request_t *request = reader->request;
 	uint64_t after = (uint64_t)server_number(request, "after", 0);
 	bool config = strcmp(request->path, "/v1/config") == 0;
-	char *text = config ? log_after(&platform->now, after)
-			    : vms_after(&platform->now, after);
+	char *text = config ? log_after(platform->shown, after)
+			    : vms_after(platform->shown, after);
 
 	if (platform->down)
 		server_answer(request, 503, "down\n", NULL, NULL);
@@ -133,21 +135,40 @@
 	try_answer(reader);
 }
 
-/* Answers a read at once if there is news, else when there is. */
+/* Waits for news for the rest of the time that the reader gave. */
+static void watch(reader_t *reader)
+{
+	double wait_s =
+		1e-3 * (double)server_number(reader->request, "wait_ms", 0);
+
+	g_ptr_array_add(reader->platform->waiting, reader);
+	reader->request->data = reader;
+	if (try_answer(reader))
+		return;
+	ev_timer_init(&reader->timer, on_wait_over, wait_s, 0.0);
+	ev_timer_start(reader->platform->loop, &reader->timer);
+}
+
+static void on_lag_over(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	watch(timer->data);
+}
+
 static void read_document(platform_t *platform, server_request_t *request)
 {
 	reader_t *reader = g_new0(reader_t, 1);
-	double wait_s = 1e-3 * (double)server_number(request, "wait_ms", 0);
 
 	platform->reads++;
 	reader->platform = platform;
 	reader->request = request;
 	request->data = reader;
-	ev_timer_init(&reader->timer, on_wait_over, wait_s, 0.0);
+	ev_timer_init(&reader->timer, on_lag_over,
+		      1e-3 * (double)platform->lag_ms, 0.0);
 	reader->timer.data = reader;
-	g_ptr_array_add(platform->waiting, reader);
-	if (!try_answer(reader))
+	if (platform->lag_ms > 0)
 		ev_timer_start(platform->loop, &reader->timer);
+	else
+		watch(reader);
 }
 
 /* Publishes an entry under the next sequence number, valid or not. */
@@ -172,6 +193,29 @@
 	g_array_set_size(now->entries, 0);
 }
 
+/* Shows readers what was current when the platform became stale. */
+static void set_stale(platform_t *platform, bool stale)
+{
+	published_t *copy;
+
+	if (!stale) {
+		platform->shown = &platform->now;
+	} else if (platform->shown == &platform->now) {
+		copy = g_new0(published_t, 1);
+		*copy = platform->now;
+		copy->entries = g_array_copy(platform->now.entries);
+		platform->shown = copy;
+	}
+}
+
+static void set_mode(platform_t *platform, server_request_t *request)
+{
+	if (server_query(request, "stale"))
+		set_stale(platform, server_number(request, "stale", 0));
+	platform->lag_ms = server_number(request, "lag_ms", platform->lag_ms);
+	platform->down = server_number(request, "down", platform->down);
+}
+
 /* Changes what is published, or reports; answers with the last sequence. */
 static void control(platform_t *platform, server_request_t *request)
 {
@@ -192,7 +236,7 @@
 		platform->now.revision++;
 		platform->now.vms = g_strdup(request->body->str);
 	} else if (strcmp(item, "mode") == 0) {
-		platform->down = server_number(request, "down", platform->down);
+		set_mode(platform, request);
 	} else {
 		server_answer(request, 404, "no such control\n", NULL, NULL);
 		return;
@@ -246,6 +290,7 @@
 		return 1;
 	}
 	platform.now.entries = g_array_new(FALSE, FALSE, sizeof(entry_t));
+	platform.shown = &platform.now;
 	platform.waiting = g_ptr_array_new();
 	if (file)
 		publish_snapshot(&platform, document);
--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -11,6 +11,7 @@
 #include "support/program.h"
 #include "support/server.h"
 
+#define COLD_FACTOR 10.0
 #define NESTED_TIMEOUT_MS 10000
 #define CONNECTIONS_PER_UPSTREAM 430
 
@@ -29,8 +30,11 @@
 	char **nested; /* "POST /a/b=GET /c/d,POST /e/f" */
 	int nested_keys;
 	int nested_retries;
+	int ignore_cancel;
 	int fixed;
 	int body_bytes;
+	int64_t start_us;
+	int64_t cold_us;
 } bench_t;
 
 typedef struct upstream {
@@ -40,6 +44,7 @@
 	double service_ms;
 	int64_t slots;
 	int64_t queue_bound;
+	bool stalled;
 	close_mode_t close;
 	int64_t running;
 	GQueue waiting; /* job_t * */
@@ -195,6 +200,8 @@
 
 	if (!bench->fixed)
 		time_s *= -log(1.0 - g_rand_double(bench->random));
+	if (program_now_us() - bench->start_us < bench->cold_us)
+		time_s *= COLD_FACTOR;
 	return time_s;
 }
 
@@ -214,7 +221,7 @@
 
 static void start_waiting(upstream_t *upstream)
 {
-	while (upstream->running < upstream->slots &&
+	while (!upstream->stalled && upstream->running < upstream->slots &&
 	       !g_queue_is_empty(&upstream->waiting))
 		start(g_queue_pop_head(&upstream->waiting));
 }
@@ -267,6 +274,7 @@
 	upstream->slots = server_number(request, "slots", upstream->slots);
 	upstream->queue_bound =
 		server_number(request, "queue", upstream->queue_bound);
+	upstream->stalled = server_number(request, "stall", upstream->stalled);
 	start_waiting(upstream);
 	server_answer(request, 200, "ok\n", NULL, NULL);
 }
@@ -287,6 +295,8 @@
 	job_t *job = request->data;
 
 	job->request = NULL;
+	if (upstream->bench->ignore_cancel)
+		return;
 	if (g_queue_remove(&upstream->waiting, job)) {
 		job_free(job);
 	} else if (ev_is_active(&job->timer)) {
@@ -318,7 +328,7 @@
 
 int main(int argc, const char **argv)
 {
-	int max_seconds = 600, seed = 1;
+	int max_seconds = 600, seed = 1, cold_s = 0;
 	char **listens = NULL, *file = NULL;
 	bench_t bench = {.loop = ev_default_loop(0)};
 	const struct poptOption options[] = {
@@ -331,10 +341,13 @@
 		 "send Idempotency-Key", NULL},
 		{"nested-retries", 0, POPT_ARG_INT, &bench.nested_retries, 0,
 		 "own retries", "N"},
+		{"ignore-cancel", 0, POPT_ARG_NONE, &bench.ignore_cancel, 0,
+		 "run on when the client hangs up", NULL},
 		{"fixed", 0, POPT_ARG_NONE, &bench.fixed, 0,
 		 "constant service time", NULL},
 		{"body-bytes", 0, POPT_ARG_INT, &bench.body_bytes, 0,
 		 "padding of answers", "N"},
+		{"cold-s", 0, POPT_ARG_INT, &cold_s, 0, "slow start", "S"},
 		{"seed", 0, POPT_ARG_INT, &seed, 0, "of service times", "N"},
 		{"record", 0, POPT_ARG_STRING, &file, 0, "executions", "FILE"},
 		{"max-seconds", 0, POPT_ARG_INT, &max_seconds, 0, "life", "S"},
@@ -343,6 +356,8 @@
 	program_options(argc, argv, options);
 	program_limit(bench.loop, max_seconds);
 	bench.random = g_rand_new_with_seed((guint32)seed);
+	bench.start_us = program_now_us();
+	bench.cold_us = cold_s * 1000000LL;
 	bench.record = file ? fopen(file, "ae") : NULL;
 	client_init(&bench.client, bench.loop, CONNECTIONS_PER_UPSTREAM);
 	printf("ready port=");
