Run the HTTP server again when an answer came from within it

Cause: an answer that one call gives to another resumes a connection from within MHD_run, and the wake-up that was fed for it was forgotten when the timer was stopped afterwards. The answered caller waited for the next event of the listener: the new unit test got no answer in 30 s, and the platform's stand-in, which has the same lines, answered waiting reads up to 9.8 s late. Ruled out: the daemons' side of a change (90 daemons within 12 ms of the first). What: a flag says that another run is wanted, in both servers.

--- a/src/connection/http_server_io.c
+++ b/src/connection/http_server_io.c
@@ -51,14 +51,23 @@
 static const char *const admin_views[] = {"status", "members", "config",
 					  "verdicts", "slowdowns"};
 
-/* Lets the library work and sets the time when it next wants to. */
+/*
+ * Lets the library work and sets the time when it next wants to. A connection
+ * that was resumed from within has to wait for another run; stopping the timer
+ * forgets that it was fed.
+ */
 static void run_listener(dws_listener_t *listener)
 {
 	struct ev_loop *ev = listener->server->ev;
 	MHD_UNSIGNED_LONG_LONG timeout_ms = 0;
 
+	listener->is_woken = false;
 	MHD_run(listener->daemon);
 	ev_timer_stop(ev, &listener->timer);
+	if (listener->is_woken) {
+		ev_feed_event(ev, &listener->timer, EV_TIMER);
+		return;
+	}
 	if (MHD_get_timeout(listener->daemon, &timeout_ms) != MHD_YES)
 		return;
 	ev_timer_set(&listener->timer, (double)timeout_ms / 1000.0, 0);
@@ -78,6 +87,7 @@
 /* Runs the library as soon as the present callback has returned. */
 static void wake_listener(dws_listener_t *listener)
 {
+	listener->is_woken = true;
 	ev_feed_event(listener->server->ev, &listener->timer, EV_TIMER);
 }
 
--- a/src/connection/http_server_io.h
+++ b/src/connection/http_server_io.h
@@ -38,6 +38,7 @@
 	struct MHD_Daemon *daemon;
 	ev_io readable; /* the library's epoll descriptor */
 	ev_timer timer; /* also fed, to run the library at once */
+	bool is_woken; /* to be run again, also if it runs now */
 	uint32_t active; /* requests that are read, served or answered */
 } dws_listener_t;
 
--- a/test/support/server.c
+++ b/test/support/server.c
@@ -18,9 +18,12 @@
 {
 	unsigned long long timeout_ms;
 
+	server->woken = false;
 	MHD_run(server->daemon);
 	ev_timer_stop(server->loop, &server->timer);
-	if (MHD_get_timeout(server->daemon, &timeout_ms) == MHD_YES) {
+	if (server->woken) {
+		ev_feed_event(server->loop, &server->timer, EV_TIMER);
+	} else if (MHD_get_timeout(server->daemon, &timeout_ms) == MHD_YES) {
 		ev_timer_set(&server->timer, (double)timeout_ms / 1000.0, 0.0);
 		ev_timer_start(server->loop, &server->timer);
 	}
@@ -74,9 +77,8 @@
 	request->suspended = false;
 	ev_io_stop(server->loop, &request->hang_up);
 	MHD_resume_connection(request->connection);
-	ev_timer_stop(server->loop, &server->timer);
-	ev_timer_set(&server->timer, 0.0, 0.0);
-	ev_timer_start(server->loop, &server->timer);
+	server->woken = true;
+	ev_feed_event(server->loop, &server->timer, EV_TIMER);
 }
 
 /* Begins a request; the library's handler does not see the raw target. */
--- a/test/support/server.h
+++ b/test/support/server.h
@@ -43,6 +43,7 @@
 	uint16_t port;
 	ev_io io;
 	ev_timer timer;
+	bool woken; /* to be run again, also if it runs now */
 };
 
 /* Listens on loopback; port 0 picks one. Ends the program on failure. */
--- a/test/unit/test_io_http_server.c
+++ b/test/unit/test_io_http_server.c
@@ -17,6 +17,7 @@
 	uint64_t calls;
 	uint64_t gone;
 	bool answers_at_once;
+	bool answers_earlier; /* answers the first call during another */
 	char seen[256]; /* of the latest call */
 } owner_t;
 
@@ -48,6 +49,8 @@
 		answer(owner, owner->calls + 100);
 		answer(owner, owner->calls);
 	}
+	if (owner->answers_earlier)
+		answer(owner, 1);
 	return owner->calls;
 }
 
@@ -237,12 +240,37 @@
 	g_free(json);
 }
 
+/* A call may end another one, which must not wait for the next event. */
+static void test_answer_during_another_call(void)
+{
+	owner_t owner;
+	int fds[2];
+
+	start(&owner);
+	for (int i = 0; i < 2; i++) {
+		owner.answers_earlier = i == 1;
+		fds[i] = io_connect(
+			&owner.server.listeners[DWS_LISTENER_CALLERS].address);
+		io_send_text(fds[i], "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+		CU_ASSERT_TRUE(
+			io_wait(owner.ev, &owner.calls, (uint64_t)i + 1));
+	}
+	char *reply = io_read(owner.ev, fds[0], "answer 1.");
+
+	CU_ASSERT_PTR_NOT_NULL(strstr(reply, "answer 1."));
+	g_free(reply);
+	close(fds[0]);
+	close(fds[1]);
+	stop(&owner);
+}
+
 int main(void)
 {
 	static const suite_test_t tests[] = {
 		{"heads", test_heads},
 		{"refused heads", test_refused_heads},
 		{"order", test_order},
+		{"answer during another call", test_answer_during_another_call},
 		{"hang-up and stop", test_hang_up_and_stop},
 		{"refusal is JSON", test_refusal_is_json},
 		{NULL, NULL},
