--- a/src/process/loop_io.c
+++ b/src/process/loop_io.c
@@ -452,6 +452,17 @@
 	return false;
 }
 
+/* Signals that still come must not end the process before it has closed. */
+static void block_signals(void)
+{
+	sigset_t signals;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	sigprocmask(SIG_BLOCK, &signals, NULL);
+}
+
 /* Serves until SIGTERM, SIGINT or an operator's drain has been carried out. */
 void dws_loop_run(dws_loop_t *loop)
 {
@@ -459,6 +470,7 @@
 	ev_signal_start(loop->ev, &loop->interrupt);
 	ev_feed_event(loop->ev, &loop->tick, EV_TIMER);
 	ev_run(loop->ev, 0);
+	block_signals();
 	ev_signal_stop(loop->ev, &loop->terminate);
 	ev_signal_stop(loop->ev, &loop->interrupt);
 }
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -17,6 +17,7 @@
 #define CATCH_UP_US (1500 * DWS_US_PER_MS)
 /* Frames that come this soon after a pause may have waited all through it. */
 #define GAP_FRAMES_US (100 * DWS_US_PER_MS)
+#define DEFAULT_SLOTS 50
 #define STORED_BYTES_MAX (24 * 1024 * 1024)
 /* Answers that nobody acknowledges hold a drain up no longer than this. */
 #define DRAIN_ANSWERS_US (2 * DWS_US_PER_S)
@@ -122,6 +123,26 @@
 	node->local_replies = g_queue_new();
 }
 
+/*
+ * How many requests may run at the local upstream: the lower of what the
+ * configuration says of its service and what the settings say.
+ */
+static uint32_t upstream_slots(const dws_node_t *node)
+{
+	const dws_config_t *config = dws_fold_config(node->fold);
+	const dws_service_t *service =
+		config ? dws_config_service(config, node->settings->service)
+		       : NULL;
+	uint32_t configured = service ? service->slots : 0;
+	uint32_t set = node->settings->upstream_slots;
+
+	if (configured == 0 && set == 0)
+		return DEFAULT_SLOTS;
+	if (configured == 0 || set == 0)
+		return MAX(configured, set);
+	return MIN(configured, set);
+}
+
 /* Starts a node; see dogwoodshift.h. */
 void dws_node_init(dws_node_t *node, const dws_settings_t *settings,
 		   dws_io_t *io, uint64_t epoch, uint64_t seed, int64_t now_us,
@@ -145,9 +166,9 @@
 			STORED_BYTES_MAX);
 	init_tables(node);
 	dws_customers_init(&node->customers);
-	dws_admission_init(&node->admission, settings->policy,
-			   settings->upstream_slots, settings->max_queue);
 	node->fold = dws_fold_new();
+	dws_admission_init(&node->admission, settings->policy,
+			   upstream_slots(node), settings->max_queue);
 	node->membership =
 		dws_membership_new(settings, &membership_ops, node, node->epoch,
 				   dws_node_random(node), now_us, wall_ms);
@@ -279,6 +300,7 @@
 	node->wall_offset_ms = wall_ms - node->now_us / DWS_US_PER_MS;
 	/* Queued work whose time is over is surely unrun; say so first. */
 	leave(node);
+	dws_limit_set_slots(&node->admission.limit, upstream_slots(node));
 	while (dws_timers_take(&node->timers, node->now_us, &timer))
 		fire(node, &timer);
 	dws_spread_set_claim(node);
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -39,7 +39,7 @@
 	uint32_t max_ledger_entries;
 	uint32_t max_queue; /* waiting for the local upstream */
 	uint32_t max_held; /* waiting for room at any upstream */
-	uint32_t upstream_slots; /* most that run at the local upstream */
+	uint32_t upstream_slots; /* at the local upstream; 0: configured */
 	uint32_t ticket_ttl_ms;
 	uint32_t probe_interval_ms;
 	uint32_t drain_linger_ms; /* after the last call in flight */
--- a/src/request/limit.c
+++ b/src/request/limit.c
@@ -308,6 +308,19 @@
 	return limit->ops != NULL;
 }
 
+/*
+ * Follows a change of the configured slots. A lower number binds at once, a
+ * higher one is grown into.
+ */
+void dws_limit_set_slots(dws_limit_t *limit, uint32_t slots)
+{
+	if (limit->slots == MAX(slots, 1))
+		return;
+	limit->slots = MAX(slots, 1);
+	limit->doubling_below = limit->slots;
+	set_value(limit, limit->value);
+}
+
 /* The most requests that may run now. */
 uint32_t dws_limit_current(const dws_limit_t *limit)
 {
--- a/src/request/limit.h
+++ b/src/request/limit.h
@@ -65,6 +65,8 @@
  * starts low, so that a cold upstream gets work gradually.
  */
 bool dws_limit_init(dws_limit_t *limit, const char *policy, uint32_t slots);
+/* Follows a change of the configured slots. */
+void dws_limit_set_slots(dws_limit_t *limit, uint32_t slots);
 uint32_t dws_limit_current(const dws_limit_t *limit);
 void dws_limit_sample(dws_limit_t *limit, int64_t now_us,
 		      const dws_limit_sample_t *sample);
--- a/src/version/spread.c
+++ b/src/version/spread.c
@@ -196,6 +196,33 @@
 		node->catch_up_until_us = node->now_us;
 }
 
+/*
+ * Plans the read after one that went well. A process that reads only because
+ * it knows nothing yet asks ever more rarely while there is nothing, so that a
+ * whole fleet that starts before anything is published stays within the
+ * platform's rate.
+ */
+static void plan_next_read(dws_node_t *node, dws_platform_item_t item,
+			   bool had_news)
+{
+	int64_t *backoff_us = &node->read_backoff_us[item];
+	int64_t due_us = node->now_us + READ_PACE_US;
+
+	if (had_news || dws_membership_is_reader(node->membership)) {
+		*backoff_us = 0;
+		if (!had_news)
+			due_us = MAX(due_us, node->read_started_us[item] +
+						     NO_NEWS_PACE_US);
+	} else {
+		*backoff_us = CLAMP(*backoff_us * 2, NO_NEWS_PACE_US,
+				    READ_BACKOFF_MAX_US);
+		due_us +=
+			(int64_t)(*backoff_us *
+				  g_rand_double_range(node->random, 0.5, 1.0));
+	}
+	node->read_due_us[item] = due_us;
+}
+
 /*
  * Ends a read of the platform: without news, with a document, or failed. A
  * failed read is tried again after an exponential delay.
@@ -218,12 +245,7 @@
 				  g_rand_double_range(node->random, 0.5, 1.0));
 		return;
 	}
-	*backoff_us = 0;
-	node->read_due_us[item] = node->now_us + READ_PACE_US;
-	if (!text)
-		node->read_due_us[item] =
-			MAX(node->read_due_us[item],
-			    node->read_started_us[item] + NO_NEWS_PACE_US);
+	plan_next_read(node, item, text != NULL);
 	if (item == DWS_PLATFORM_CONFIG) {
 		node->platform_answered = true;
 		confirm_config(node, node->now_us);
--- a/test/unit/test_node.c
+++ b/test/unit/test_node.c
@@ -400,6 +400,17 @@
 	check_nested_calls_are_charged(&shed);
 }
 
+static void test_configured_slots_bind(void)
+{
+	recorder_t recorder;
+
+	start(&recorder);
+	for (int i = 0; i < 6; i++)
+		call(&recorder, "GET", NULL, "");
+	CU_ASSERT_EQUAL(recorder.dispatches, 4);
+	finish(&recorder);
+}
+
 /* Submits a nested order of a peer, always under the same call id. */
 static void submit(recorder_t *recorder, uint32_t remaining_us)
 {
@@ -475,6 +486,7 @@
 		{"hang-up", test_hang_up_cancels_only_idempotent_work},
 		{"customer retries", test_retries_of_a_customer_are_bounded},
 		{"charged", test_nested_calls_of_a_retry_are_charged},
+		{"slots", test_configured_slots_bind},
 		{"fence", test_refused_submit_is_fenced},
 		{"room", test_browsing_leaves_room_for_urgent_calls},
 		{"paused", test_deadline_passes_while_paused},
