Name too many executions before what an answer claims

Cause: an order that ran twice was reported as one whose complete answer did not match, since the later check took the place of the earlier one.

What: the bound on executions is the last check and is what is reported.

--- a/test/failure/mixed.c
+++ b/test/failure/mixed.c
@@ -341,8 +341,6 @@
 		most = i > 1 ? MAX(most, count) : most;
 		g_free(target);
 	}
-	if (all > order->work->executions_max || most > 1)
-		fault = "executed too often";
 	if (order->not_run && all > 0)
 		fault = "told not-run but executed";
 	if (order->complete && (order->differs || order->not_run))
@@ -350,6 +348,8 @@
 	if (order->complete &&
 	    (own_executions(run, order) < 1 || (order->ticket && most != 1)))
 		fault = "complete, but not the whole answer of its execution";
+	if (all > order->work->executions_max || most > 1)
+		fault = "executed too often";
 	if (fault) {
 		printf("seed %u: %s ticket=%s: %s; executions=%d most=%d\n",
 		       run->seed, order->target,
