Retry with the next ticket after a refusal, in the load's stand-in

Cause: the ticket of a request that was not run is closed, and the stand-in tried it again: in the scenario of slow deposits some 1,000 requests per caller used up five retries at once on the same refusal. docs/CALLERS.md asks for the next ticket; the stand-in now does so.

--- a/src/process/counters.c
+++ b/src/process/counters.c
@@ -46,10 +46,8 @@
 };
 
 static const char *const histogram_names[DWS_HIST_COUNT] = {
-	[DWS_HIST_CALL] = "call",
-	[DWS_HIST_QUEUE] = "queue",
-	[DWS_HIST_HOLD] = "hold",
-	[DWS_HIST_UPSTREAM] = "upstream",
+	[DWS_HIST_CALL] = "call",	  [DWS_HIST_QUEUE] = "queue",
+	[DWS_HIST_HOLD] = "hold",	  [DWS_HIST_UPSTREAM] = "upstream",
 	[DWS_HIST_LOAD_AGE] = "load_age",
 };
 
--- a/test/standin/caller.c
+++ b/test/standin/caller.c
@@ -134,7 +134,17 @@
 		ev_break(caller->loop, EVBREAK_ALL);
 }
 
-/* Takes an answer: gets a ticket, retries, or ends the request. */
+/* True if the answer says that the request was not run and never will be. */
+static bool was_not_run(http_exchange_t *exchange)
+{
+	return strcmp(http_header(exchange, "dogwoodshift-outcome"),
+		      "not-run") == 0;
+}
+
+/*
+ * Takes an answer: gets a ticket, retries, or ends the request. The ticket of
+ * a request that was not run is closed, so its retry takes the next one.
+ */
 static void on_answer(void *data, http_exchange_t *exchange)
 {
 	sent_t *sent = data;
@@ -151,6 +161,11 @@
 	if ((exchange->status == 0 || exchange->status == 429 ||
 	     exchange->status >= 500) &&
 	    sent->retries_left > 0) {
+		if (sent->ticket && was_not_run(exchange)) {
+			g_free(sent->ticket);
+			sent->ticket =
+				g_queue_pop_tail(&sent->customer->tickets);
+		}
 		sent->retries_left--;
 		sent->daemon++;
 		send_try(sent);
@@ -159,7 +174,7 @@
 	finish(sent, exchange);
 }
 
-/* Sends a request for the first time or again, with the same ticket. */
+/* Sends a request for the first time or again. */
 static void send_try(sent_t *sent)
 {
 	load_t *load = sent->load;
