--- a/test/standin/capacity_membership.c
+++ b/bench/membership.c
@@ -3,7 +3,7 @@
  * clock of its own. One line of key=value pairs for each size. Processor time
  * includes the network that the fleet runs on, so it is an upper bound.
  *
- *   standin_capacity_membership PROCESSES ZONES
+ *   bench_membership PROCESSES ZONES
  */
 #include <malloc.h>
 #include <stdio.h>
--- a/test/standin/capacity_routing.c
+++ b/bench/routing.c
@@ -2,7 +2,7 @@
  * Measures the choice of a member: time and memory with a fleet of several
  * sizes and 100 services. One line of key=value pairs.
  *
- *   standin_capacity_routing MEMBERS ZONES PICKS
+ *   bench_routing MEMBERS ZONES PICKS
  */
 #include <malloc.h>
 #include <stdio.h>
