--- a/src/connection/wire.pb-c.c
+++ b/src/connection/wire.pb-c.c
@@ -876,7 +876,7 @@
   (ProtobufCMessageInit) dws__context__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dws__request__field_descriptors[6] =
+static const ProtobufCFieldDescriptor dws__request__field_descriptors[5] =
 {
   {
     "method",
@@ -938,22 +938,9 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "config_version",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Dws__Request, config_version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned dws__request__field_indices_by_name[] = {
   3,   /* field[3] = body */
-  5,   /* field[5] = config_version */
   2,   /* field[2] = content_type */
   4,   /* field[4] = kind */
   0,   /* field[0] = method */
@@ -962,7 +949,7 @@
 static const ProtobufCIntRange dws__request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor dws__request__descriptor =
 {
@@ -972,7 +959,7 @@
   "Dws__Request",
   "dws",
   sizeof(Dws__Request),
-  6,
+  5,
   dws__request__field_descriptors,
   dws__request__field_indices_by_name,
   1,  dws__request__number_ranges,
@@ -1312,7 +1299,7 @@
   (ProtobufCMessageInit) dws__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dws__answer__field_descriptors[14] =
+static const ProtobufCFieldDescriptor dws__answer__field_descriptors[12] =
 {
   {
     "id",
@@ -1422,21 +1409,9 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "next_ticket",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Dws__Answer, next_ticket),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "retry_after_ms",
-    11,
+    10,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
@@ -1448,7 +1423,7 @@
   },
   {
     "detail",
-    12,
+    11,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
@@ -1460,7 +1435,7 @@
   },
   {
     "running",
-    13,
+    12,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
@@ -1470,31 +1445,17 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "may_have_run",
-    14,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Dws__Answer, may_have_run),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned dws__answer__field_indices_by_name[] = {
   6,   /* field[6] = body */
   5,   /* field[5] = content_type */
-  11,   /* field[11] = detail */
+  10,   /* field[10] = detail */
   0,   /* field[0] = id */
   8,   /* field[8] = load */
-  13,   /* field[13] = may_have_run */
-  9,   /* field[9] = next_ticket */
   2,   /* field[2] = outcome */
   3,   /* field[3] = reason */
-  10,   /* field[10] = retry_after_ms */
-  12,   /* field[12] = running */
+  9,   /* field[9] = retry_after_ms */
+  11,   /* field[11] = running */
   4,   /* field[4] = status */
   1,   /* field[1] = to_submit */
   7,   /* field[7] = tokens_returned */
@@ -1502,7 +1463,7 @@
 static const ProtobufCIntRange dws__answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor dws__answer__descriptor =
 {
@@ -1512,7 +1473,7 @@
   "Dws__Answer",
   "dws",
   sizeof(Dws__Answer),
-  14,
+  12,
   dws__answer__field_descriptors,
   dws__answer__field_indices_by_name,
   1,  dws__answer__number_ranges,
@@ -1608,7 +1569,7 @@
   (ProtobufCMessageInit) dws__pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dws__document__field_descriptors[3] =
+static const ProtobufCFieldDescriptor dws__document__field_descriptors[2] =
 {
   {
     "item",
@@ -1634,28 +1595,15 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "age_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Dws__Document, age_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned dws__document__field_indices_by_name[] = {
-  2,   /* field[2] = age_ms */
   0,   /* field[0] = item */
   1,   /* field[1] = text */
 };
 static const ProtobufCIntRange dws__document__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor dws__document__descriptor =
 {
@@ -1665,14 +1613,14 @@
   "Dws__Document",
   "dws",
   sizeof(Dws__Document),
-  3,
+  2,
   dws__document__field_descriptors,
   dws__document__field_indices_by_name,
   1,  dws__document__number_ranges,
   (ProtobufCMessageInit) dws__document__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dws__envelope__field_descriptors[15] =
+static const ProtobufCFieldDescriptor dws__envelope__field_descriptors[14] =
 {
   {
     "from_vm",
@@ -1842,18 +1790,6 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "hello",
-    18,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    offsetof(Dws__Envelope, body_case),
-    offsetof(Dws__Envelope, hello),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned dws__envelope__field_indices_by_name[] = {
   11,   /* field[11] = ack */
@@ -1865,7 +1801,6 @@
   2,   /* field[2] = from_ip */
   3,   /* field[3] = from_port */
   0,   /* field[0] = from_vm */
-  14,   /* field[14] = hello */
   4,   /* field[4] = leaving */
   12,   /* field[12] = pull */
   9,   /* field[9] = recall */
@@ -1876,7 +1811,7 @@
 {
   { 1, 0 },
   { 10, 6 },
-  { 0, 15 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor dws__envelope__descriptor =
 {
@@ -1886,7 +1821,7 @@
   "Dws__Envelope",
   "dws",
   sizeof(Dws__Envelope),
-  15,
+  14,
   dws__envelope__field_descriptors,
   dws__envelope__field_indices_by_name,
   2,  dws__envelope__number_ranges,
--- a/src/connection/wire.pb-c.h
+++ b/src/connection/wire.pb-c.h
@@ -89,11 +89,10 @@
   char *content_type;
   ProtobufCBinaryData body;
   char *kind;
-  uint64_t config_version;
 };
 #define DWS__REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dws__request__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -182,18 +181,16 @@
   ProtobufCBinaryData body;
   uint32_t tokens_returned;
   Dws__Load *load;
-  char *next_ticket;
   uint32_t retry_after_ms;
   char *detail;
   /*
    * of a Recall: still at work
    */
   protobuf_c_boolean running;
-  protobuf_c_boolean may_have_run;
 };
 #define DWS__ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dws__answer__descriptor) \
-    , 0, 0, DWS__OUTCOME__COMPLETE, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, DWS__OUTCOME__COMPLETE, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, NULL, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Dws__Ack
@@ -222,11 +219,10 @@
   ProtobufCMessage base;
   uint32_t item;
   ProtobufCBinaryData text;
-  uint32_t age_ms;
 };
 #define DWS__DOCUMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dws__document__descriptor) \
-    , 0, {0,NULL}, 0 }
+    , 0, {0,NULL} }
 
 
 typedef enum {
@@ -238,8 +234,7 @@
   DWS__ENVELOPE__BODY_ANSWER = 14,
   DWS__ENVELOPE__BODY_ACK = 15,
   DWS__ENVELOPE__BODY_PULL = 16,
-  DWS__ENVELOPE__BODY_DOCUMENT = 17,
-  DWS__ENVELOPE__BODY_HELLO = 18
+  DWS__ENVELOPE__BODY_DOCUMENT = 17
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(DWS__ENVELOPE__BODY__CASE)
 } Dws__Envelope__BodyCase;
 
@@ -265,7 +260,6 @@
     Dws__Ack *ack;
     Dws__Pull *pull;
     Dws__Document *document;
-    protobuf_c_boolean hello;
   };
 };
 #define DWS__ENVELOPE__INIT \
--- a/src/process/membership.c
+++ b/src/process/membership.c
@@ -463,14 +463,3 @@
 {
 	return membership->generation;
 }
-
-/* A random live peer, of the own zone if there is one; NULL if alone. */
-const dws_member_t *dws_membership_random_peer(dws_membership_t *membership)
-{
-	dws_membership_entry_t *peer =
-		random_member(membership, is_live_in_zone);
-
-	if (!peer)
-		peer = random_member(membership, is_live);
-	return peer ? &peer->member : NULL;
-}
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -125,7 +125,5 @@
  * address; for caches of what this module says.
  */
 uint64_t dws_membership_generation(const dws_membership_t *membership);
-/* A random live peer, of the own zone if there is one; NULL if alone. */
-const dws_member_t *dws_membership_random_peer(dws_membership_t *membership);
 
 #endif
--- a/src/process/routing.c
+++ b/src/process/routing.c
@@ -467,14 +467,6 @@
 	return least_us;
 }
 
-/* Forgets a member, its outstanding calls included. */
-void dws_routing_forget(dws_routing_t *routing, const char *vm_id)
-{
-	g_hash_table_remove_all(routing->services);
-	routing->generation = UINT64_MAX;
-	g_hash_table_remove(routing->peers, vm_id);
-}
-
 /* Time since the load of a member was heard, in us; -1 if never. */
 int64_t dws_routing_load_age_us(const dws_routing_t *routing, int64_t now_us,
 				const char *vm_id)
--- a/src/process/routing.h
+++ b/src/process/routing.h
@@ -40,8 +40,6 @@
 /* When a member that is busy now may be tried again; DWS_NEVER_US if none. */
 int64_t dws_routing_retry_us(const dws_routing_t *routing, int64_t now_us,
 			     const char *service);
-/* Forgets what is known of members that are gone. */
-void dws_routing_forget(dws_routing_t *routing, const char *vm_id);
 /* Time since the load of a member was heard, in us; -1 if never. */
 int64_t dws_routing_load_age_us(const dws_routing_t *routing, int64_t now_us,
 				const char *vm_id);
--- a/test/fuzz/fuzz_routing.c
+++ b/test/fuzz/fuzz_routing.c
@@ -152,9 +152,9 @@
 	} else if (op == 5) {
 		say(world, index, take(world, 4), take(world, 2) == 0);
 	} else if (op == 6) {
-		dws_routing_forget(world->routing, name_of(index));
-		model->busy_until_us = 0;
-		model->clean = true;
+		dws_routing_cancelled(world->routing, name_of(index));
+		if (model->outstanding > 0)
+			model->outstanding--;
 	} else {
 		dws_routing_retry_us(world->routing, world->now_us, "s");
 		dws_routing_load_age_us(world->routing, world->now_us,
