--- a/test/failure/versions.c
+++ b/test/failure/versions.c
@@ -197,6 +197,32 @@
 	site_free(site);
 }
 
+/* The other example's site starts, takes an order and shows its catalogue. */
+static void test_second_example(void)
+{
+	site_t *site = site_new("examples/mithai-samen.yaml");
+	site_vm_t *catalogue = site_add(site, "catalogue", "a", "catalogue",
+					"--fixed", "probe_interval_ms: 100\n");
+	const char *browse = "/catalogue/list?order=1";
+	const char *order = "/kitchen/order?order=1";
+	http_exchange_t answer;
+
+	site_add(site, "kitchen", "b", "kitchen", "--fixed",
+		 "probe_interval_ms: 100\n");
+	CU_ASSERT_FATAL(site_start(site));
+	site_call(&answer, catalogue, "GET", browse, "ada", NULL);
+	CU_ASSERT(site_is_complete(&answer, browse));
+	http_finish(&answer);
+	char *ticket = site_ticket(catalogue, order);
+
+	site_call(&answer, catalogue, "POST", order, "ada", ticket);
+	CU_ASSERT(site_is_complete(&answer, order));
+	CU_ASSERT_EQUAL(site_count(site, "start", order), 1);
+	http_finish(&answer);
+	g_free(ticket);
+	site_free(site);
+}
+
 int main(void)
 {
 	static const suite_test_t tests[] = {
@@ -204,6 +230,7 @@
 		{"stale platform", test_stale_platform},
 		{"partition", test_partition},
 		{"slowdown", test_slowdown},
+		{"second example", test_second_example},
 		{NULL, NULL},
 	};
 
