--- a/include/dogwoodshift.h
+++ b/include/dogwoodshift.h
@@ -92,9 +92,12 @@
 typedef struct dws_counters dws_counters_t; /* process/counters.h */
 typedef struct dws_caller_limits dws_caller_limits_t; /* version/config.h */
 
+/* Longest IP number as text, with the end. */
+#define DWS_IP_SIZE 46
+
 /* An IP number and a port; stream and datagram ports are apart. */
 typedef struct dws_address {
-	char ip[46];
+	char ip[DWS_IP_SIZE];
 	uint16_t port;
 } dws_address_t;
 
--- a/src/process/loop_io.c
+++ b/src/process/loop_io.c
@@ -480,20 +480,33 @@
 	loop->interrupt.data = loop;
 }
 
+/* Where to listen for peers that reach this process at an address. */
+static dws_address_t bind_address(const dws_settings_t *settings,
+				  const dws_address_t *told)
+{
+	dws_address_t address = *told;
+
+	if (settings->bind_ip[0])
+		g_strlcpy(address.ip, settings->bind_ip, sizeof(address.ip));
+	return address;
+}
+
 /* Opens the sockets and the HTTP client that the node needs from its start. */
 static bool open_transports(dws_loop_t *loop, GError **error)
 {
 	dws_settings_t *settings = &loop->settings;
 	size_t frame_max_bytes =
 		settings->max_body_bytes + DWS_FRAME_SLACK_BYTES;
+	dws_address_t frames = bind_address(settings, &settings->frame_listen);
+	dws_address_t datagrams =
+		bind_address(settings, &settings->datagram_listen);
 
 	if (!dws_streams_init(&loop->streams, &stream_ops, loop, loop->ev,
-			      &loop->early_counters, &settings->frame_listen,
-			      frame_max_bytes, error))
+			      &loop->early_counters, &frames, frame_max_bytes,
+			      error))
 		return false;
 	if (!dws_datagrams_init(&loop->datagrams, &datagram_ops, loop, loop->ev,
-				&loop->early_counters,
-				&settings->datagram_listen, error)) {
+				&loop->early_counters, &datagrams, error)) {
 		dws_streams_finish(&loop->streams);
 		return false;
 	}
@@ -503,8 +516,9 @@
 		dws_streams_finish(&loop->streams);
 		return false;
 	}
-	settings->frame_listen = loop->streams.listen;
-	settings->datagram_listen = loop->datagrams.listen;
+	/* A port that was left open is known now. */
+	settings->frame_listen.port = loop->streams.listen.port;
+	settings->datagram_listen.port = loop->datagrams.listen.port;
 	loop->has_store = strcmp(settings->platform_protocol, "store") == 0;
 	if (loop->has_store)
 		dws_store_init(&loop->store, &loop->client, settings,
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -90,6 +90,7 @@
 	"routed_listen",   "ready_listen",
 	"retry_ratio",	   "retry_slack",
 	"retry_window",	   "platform_protocol",
+	"bind_ip",
 };
 
 static const char *const level_names[] = {
@@ -235,6 +236,18 @@
 	}
 }
 
+/* Reads the IP number that the listeners for peers bind. */
+static void read_bind_ip(const dws_fields_t *fields, dws_settings_t *settings)
+{
+	if (dws_fields_text(fields, "bind_ip", settings->bind_ip,
+			    sizeof(settings->bind_ip)) &&
+	    !g_hostname_is_ip_address(settings->bind_ip))
+		dws_fields_fault(fields, DWS_ERROR_VALUE, "bind_ip",
+				 "is no IP number; write one of this VM's, or "
+				 "leave it out to bind those that peers are "
+				 "told");
+}
+
 /* Checks what no key shows by itself. */
 static void check_together(const dws_fields_t *fields,
 			   const dws_settings_t *settings)
@@ -275,6 +288,7 @@
 		DWS_LOG_INFO);
 	dws_fields_text(fields, "log_file", settings->log_file,
 			sizeof(settings->log_file));
+	read_bind_ip(fields, settings);
 	size_t protocol =
 		read_choice(fields, "platform_protocol", protocol_names,
 			    G_N_ELEMENTS(protocol_names), 0);
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -34,6 +34,11 @@
 	bool admin_any_address; /* allows a non-loopback admin address */
 	dws_address_t frame_listen; /* TCP, for peers */
 	dws_address_t datagram_listen; /* UDP, for peers */
+	/*
+	 * What the two above bind where peers reach this VM by another IP
+	 * number (address translation, a relay); "": the same.
+	 */
+	char bind_ip[DWS_IP_SIZE];
 	dws_address_t upstream; /* port 0 if there is none */
 	dws_address_t platform; /* port 0 if there is none */
 	dws_seed_t seeds[DWS_MAX_SEEDS];
--- a/test/unit/test_settings.c
+++ b/test/unit/test_settings.c
@@ -53,6 +53,10 @@
 	CU_ASSERT_EQUAL(settings.upstream.port, 8);
 	CU_ASSERT_EQUAL(settings.max_held, 0);
 	CU_ASSERT_STRING_EQUAL(settings.policy, "fixed");
+	CU_ASSERT_STRING_EQUAL(settings.bind_ip, "");
+	CU_ASSERT_PTR_NULL(parse_with(&settings, "bind_ip: 10.9.0.1\n"));
+	CU_ASSERT_STRING_EQUAL(settings.bind_ip, "10.9.0.1");
+	CU_ASSERT_STRING_EQUAL(settings.frame_listen.ip, "10.0.0.1");
 }
 
 static void test_faults(void)
@@ -80,6 +84,7 @@
 		{"seeds: [{frame: 10.0.0.2:1}]\n",
 		 "seeds[0].datagram: is missing"},
 		{"seeds: {}\n", "seeds: is no list of at most 16"},
+		{"bind_ip: here\n", "bind_ip: is no IP number; write one"},
 		{"log_file: \"a\\nb\"\n", "log_file: \"a\\nb\" does not fit"},
 	};
 
