Take a stream for dead whose peer gives no receipts

Cause: a stream between daemons that fell silent, while something between still acknowledged its segments, was kept for good: keep-alive probes and TCP_USER_TIMEOUT see nothing, and all requests on it ended at their deadlines. The reader of a stream now writes back how many bytes it has read, once in 250 ms, and the writer breaks a stream after 8 such delays without a receipt that is due. Delays are counted and not timed, so a paused process does not blame its peers. Ruled out: pings as frames of their own, as an answer comes on the peer's own stream and would not tell which of the two is silent.

--- a/src/connection/stream_io.c
+++ b/src/connection/stream_io.c
@@ -19,6 +19,12 @@
 #define KEEPALIVE_IDLE_S 1
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 2
+/* How long bytes wait until their receipt is written. */
+#define RECEIPT_DELAY_S 0.25
+/* Delays without a receipt, while some is due, after which a stream is dead. */
+#define RECEIPT_DELAYS_MAX 8
+#define RECEIPT_BYTES sizeof(uint64_t)
+#define RECEIPTS_PER_READ 16
 #define SCRATCH_BYTES (64 * 1024)
 /* Reads of one stream before the others get their turn. */
 #define READS_PER_EVENT 8
@@ -39,6 +45,11 @@
 	ev_timer connect_timeout;
 	GByteArray *out;
 	size_t sent_bytes; /* of out */
+	uint64_t written_bytes; /* since the stream was opened */
+	uint64_t receipted_bytes; /* of them, that the peer has read */
+	uint32_t silent_delays; /* without a receipt that was due */
+	uint8_t receipt[RECEIPT_BYTES]; /* the start of one */
+	size_t receipt_bytes; /* of it, that were read */
 } outbound_t;
 
 typedef struct inbound {
@@ -46,6 +57,8 @@
 	int fd;
 	ev_io readable;
 	GByteArray *in; /* the start of a frame */
+	uint64_t read_bytes; /* since the stream was opened */
+	bool is_unreceipted; /* it stands in the list of those */
 } inbound_t;
 
 static gboolean address_equal(gconstpointer a, gconstpointer b)
@@ -149,6 +162,13 @@
 	stream->sent_bytes = 0;
 }
 
+/* Receipts are written and missed once in each delay while the timer runs. */
+static void start_receipts(dws_streams_t *streams)
+{
+	if (!ev_is_active(&streams->receipts))
+		ev_timer_again(streams->ev, &streams->receipts);
+}
+
 /* Writes as much as the socket takes; waits for room if there is more. */
 static void write_outbound(outbound_t *stream)
 {
@@ -172,6 +192,8 @@
 			return;
 		}
 		stream->sent_bytes += (size_t)wrote;
+		stream->written_bytes += (uint64_t)wrote;
+		start_receipts(stream->streams);
 	}
 	trim_out(stream);
 	ev_io_stop(ev, &stream->writable);
@@ -198,16 +220,40 @@
 	write_outbound(stream);
 }
 
-/* Nothing is ever read here but the end: peers answer on their own stream. */
+/* Takes bytes of receipts: each is a count of bytes that the peer has read. */
+static void take_receipts(outbound_t *stream, const uint8_t *data,
+			  size_t size_bytes)
+{
+	uint64_t count;
+
+	for (size_t i = 0; i < size_bytes; i++) {
+		stream->receipt[stream->receipt_bytes++] = data[i];
+		if (stream->receipt_bytes < RECEIPT_BYTES)
+			continue;
+		stream->receipt_bytes = 0;
+		memcpy(&count, stream->receipt, sizeof(count));
+		count = GUINT64_FROM_BE(count);
+		if (count <= stream->receipted_bytes ||
+		    count > stream->written_bytes)
+			continue;
+		stream->receipted_bytes = count;
+		stream->silent_delays = 0;
+	}
+}
+
+/* Reads receipts, or the end; frames of the peer come on its own stream. */
 static void on_outbound_readable(struct ev_loop *ev, ev_io *watcher, int events)
 {
 	outbound_t *stream = watcher->data;
-	uint8_t byte;
-	ssize_t got = recv(stream->fd, &byte, 1, MSG_DONTWAIT);
+	uint8_t data[RECEIPT_BYTES * RECEIPTS_PER_READ];
+	ssize_t got = recv(stream->fd, data, sizeof(data), MSG_DONTWAIT);
 
 	if (got < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
-	break_outbound(stream);
+	if (got <= 0)
+		break_outbound(stream);
+	else
+		take_receipts(stream, data, (size_t)got);
 }
 
 static void on_connect_timeout(struct ev_loop *ev, ev_timer *watcher,
@@ -324,6 +370,8 @@
 {
 	inbound_t *stream = data;
 
+	if (stream->is_unreceipted)
+		g_ptr_array_remove_fast(stream->streams->unreceipted, stream);
 	ev_io_stop(stream->streams->ev, &stream->readable);
 	close(stream->fd);
 	g_byte_array_free(stream->in, TRUE);
@@ -396,6 +444,69 @@
 	return true;
 }
 
+/* Counts bytes that were read; their receipt is due after the delay. */
+static void note_read(inbound_t *stream, size_t size_bytes)
+{
+	dws_streams_t *streams = stream->streams;
+
+	stream->read_bytes += size_bytes;
+	start_receipts(streams);
+	if (stream->is_unreceipted)
+		return;
+	stream->is_unreceipted = true;
+	g_ptr_array_add(streams->unreceipted, stream);
+}
+
+/*
+ * Tells the peer how much was read. What a peer that reads nothing has no room
+ * for is dropped: it will break the stream, as it gets no receipts.
+ */
+static void write_receipt(inbound_t *stream)
+{
+	uint64_t count = GUINT64_TO_BE(stream->read_bytes);
+
+	(void)!send(stream->fd, &count, sizeof(count),
+		    MSG_NOSIGNAL | MSG_DONTWAIT);
+	stream->is_unreceipted = false;
+}
+
+/*
+ * Finds streams whose peer gives no receipts: a connection can fall silent
+ * while its other end, or something between, still acknowledges segments.
+ * Delays are counted and not timed, so that a pause of this process, in which
+ * it could read none, is no silence of the peer. True if any is awaited.
+ */
+static bool miss_receipts(dws_streams_t *streams)
+{
+	GHashTableIter iter;
+	gpointer value;
+	bool is_any_due = false;
+
+	g_hash_table_iter_init(&iter, streams->outbound);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		outbound_t *stream = value;
+
+		if (stream->is_broken ||
+		    stream->receipted_bytes == stream->written_bytes)
+			continue;
+		is_any_due = true;
+		if (++stream->silent_delays > RECEIPT_DELAYS_MAX)
+			break_outbound(stream);
+	}
+	return is_any_due;
+}
+
+static void on_receipts(struct ev_loop *ev, ev_timer *watcher, int events)
+{
+	dws_streams_t *streams = watcher->data;
+
+	for (guint i = 0; i < streams->unreceipted->len; i++)
+		write_receipt(streams->unreceipted->pdata[i]);
+	g_ptr_array_set_size(streams->unreceipted, 0);
+	if (!miss_receipts(streams))
+		ev_timer_stop(ev, watcher);
+}
+
 /* Reads one stream, for a bounded number of times. */
 static void on_inbound_readable(struct ev_loop *ev, ev_io *watcher, int events)
 {
@@ -412,6 +523,7 @@
 			g_hash_table_remove(streams->inbound, stream);
 			return;
 		}
+		note_read(stream, (size_t)got);
 		if (!take_bytes(stream, (size_t)got)) {
 			dws_counters_add(streams->counters,
 					 DWS_COUNT_BAD_MESSAGES, 1);
@@ -477,6 +589,8 @@
 	ev_timer_init(&streams->flush, on_flush, 0, 0);
 	ev_set_priority(&streams->flush, EV_MINPRI);
 	ev_timer_init(&streams->report, on_report, REPORT_DELAY_S, 0);
+	ev_timer_init(&streams->receipts, on_receipts, 0, RECEIPT_DELAY_S);
+	streams->receipts.data = streams;
 	streams->accept_watcher.data = streams;
 	streams->accept_pause.data = streams;
 	streams->flush.data = streams;
@@ -512,6 +626,7 @@
 						 free_inbound, NULL);
 	streams->unflushed = g_ptr_array_new();
 	streams->broken = g_ptr_array_new();
+	streams->unreceipted = g_ptr_array_new();
 	streams->scratch = g_malloc(SCRATCH_BYTES);
 	init_watchers(streams);
 	return true;
@@ -523,6 +638,7 @@
 	on_flush(streams->ev, &streams->flush, 0);
 	ev_clear_pending(streams->ev, &streams->flush);
 	ev_timer_stop(streams->ev, &streams->report);
+	ev_timer_stop(streams->ev, &streams->receipts);
 	ev_io_stop(streams->ev, &streams->accept_watcher);
 	ev_timer_stop(streams->ev, &streams->accept_pause);
 	close(streams->listen_fd);
@@ -530,5 +646,6 @@
 	g_hash_table_destroy(streams->inbound);
 	g_ptr_array_free(streams->unflushed, TRUE);
 	g_ptr_array_free(streams->broken, TRUE);
+	g_ptr_array_free(streams->unreceipted, TRUE);
 	g_free(streams->scratch);
 }
--- a/src/connection/stream_io.h
+++ b/src/connection/stream_io.h
@@ -1,8 +1,10 @@
 /*
  * Streams of frames between processes, over TCP. A frame is a length of 4
  * bytes, the most significant first, and that many bytes. Each process opens
- * one stream to a peer that it has something to tell, and only writes on it;
- * streams that peers opened are only read.
+ * one stream to a peer that it has something to tell, and writes frames on it;
+ * on streams that peers opened it writes receipts alone: counts of 8 bytes, the
+ * most significant first, of the bytes that it has read there. A stream whose
+ * receipts stay away is taken for dead.
  */
 #ifndef DWS_CONNECTION_STREAM_IO_H
 #define DWS_CONNECTION_STREAM_IO_H
@@ -40,10 +42,12 @@
 	ev_timer accept_pause; /* after the system refused a connection */
 	ev_timer flush; /* only fed; runs after all other events */
 	ev_timer report; /* reports broken streams */
+	ev_timer receipts; /* writes those that are due, and misses others */
 	GHashTable *outbound; /* dws_address_t to outbound_t, owned */
 	GHashTable *inbound; /* set of inbound_t, owned */
 	GPtrArray *unflushed; /* outbound_t */
 	GPtrArray *broken; /* outbound_t */
+	GPtrArray *unreceipted; /* inbound_t that have read since the last */
 	uint8_t *scratch;
 } dws_streams_t;
 
--- a/test/unit/test_frame_stream.c
+++ b/test/unit/test_frame_stream.c
@@ -182,6 +182,58 @@
 	ev_loop_destroy(ev);
 }
 
+/* A peer that reads everything and says nothing. */
+static void test_silent_peer(void)
+{
+	peer_t from;
+	dws_address_t address = any_port;
+	struct ev_loop *ev = ev_loop_new(0);
+	int listener = dws_address_bind(&address, SOCK_STREAM, NULL);
+	char bytes[64];
+
+	start_peer(&from, ev);
+	dws_streams_send(&from.streams, &address, (uint8_t *)"a", 1);
+	ev_run(ev, EVRUN_ONCE);
+	int fd = accept4(listener, NULL, NULL, SOCK_CLOEXEC);
+
+	CU_ASSERT_EQUAL(recv(fd, bytes, sizeof(bytes), 0), 5);
+	CU_ASSERT_EQUAL(from.lost, 0);
+	CU_ASSERT_TRUE(io_wait(ev, &from.lost, 1));
+	CU_ASSERT_EQUAL(from.lost, 1);
+	close(fd);
+	close(listener);
+	stop_peer(&from);
+	ev_loop_destroy(ev);
+}
+
+/* Receipts keep a stream alive, and end once all is receipted. */
+static void test_receipts(void)
+{
+	peer_t from;
+	peer_t to;
+	struct ev_loop *ev = ev_loop_new(0);
+	uint64_t frames = 0;
+
+	start_peer(&from, ev);
+	start_peer(&to, ev);
+	/* Longer than a stream without receipts lives. */
+	while (frames < 300) {
+		dws_streams_send(&from.streams, &to.streams.listen,
+				 (uint8_t *)"a", 1);
+		frames++;
+		g_usleep(10000);
+		CU_ASSERT_TRUE(io_wait(ev, &to.frame_bytes, 2 * frames));
+	}
+	while (ev_is_active(&from.streams.receipts) ||
+	       ev_is_active(&to.streams.receipts))
+		ev_run(ev, EVRUN_ONCE);
+	CU_ASSERT_EQUAL(from.lost, 0);
+	CU_ASSERT_EQUAL(to.counters.counts[DWS_COUNT_FRAMES_IN], frames);
+	stop_peer(&from);
+	stop_peer(&to);
+	ev_loop_destroy(ev);
+}
+
 int main(void)
 {
 	static const suite_test_t tests[] = {
@@ -189,6 +241,8 @@
 		{"malformed", test_malformed},
 		{"order", test_order_between_peers},
 		{"lost", test_lost},
+		{"silent peer", test_silent_peer},
+		{"receipts", test_receipts},
 		{NULL, NULL},
 	};
 
