Believe no refusal of a request that the HTTP library sent twice

Cause: libcurl sends a request again by itself when a reused connection dies before the first byte of an answer. The first copy may have run; when the second was refused by the upstream, the caller was told 'not run'. The repeat also escaped the retry budget. Now a refusal of what was sent twice counts as lost, and libcurl may send again only what died within 5 ms, as a forgotten idle connection does; other repeats are the node's. Before: test_io_http_client 'sent again' failed 5 assertions. After: it passes.

--- a/src/connection/http_client_io.c
+++ b/src/connection/http_client_io.c
@@ -2,15 +2,19 @@
  * HTTP towards the local upstream and the platform: libcurl's multi interface
  * on the event loop.
  *
- * Non-idempotent work takes a connection of its own: libcurl sends a request
- * again by itself when a connection that it reuses dies before the first byte
- * of an answer, and it can't know whether the upstream had read the first.
+ * libcurl sends a request again by itself when a connection that it reuses dies
+ * before the first byte of an answer, and it can't know whether the upstream had
+ * read the first. Non-idempotent work therefore takes a connection of its own.
+ * Other work is sent again only if its connection died at once, as an idle one
+ * does that the upstream had forgotten; else the node decides about a repeat.
  */
 #include <string.h>
 #include "connection/http_client_io.h"
 #include "version/config.h"
 
 #define CONNECT_TIMEOUT_MS 1000L
+/* A reused connection that dies later than this had been alive. */
+#define FORGOTTEN_MAX_US (5 * DWS_US_PER_MS)
 /* Non-idempotent work runs on after its deadline; its answer is of use. */
 #define LATE_ANSWER_MS 30000
 /* Beyond the time that the platform was asked to wait. */
@@ -51,6 +55,8 @@
 	bool is_chunked;
 	bool says_not_run;
 	bool is_foreign; /* the answer belongs to another request */
+	uint32_t sends; /* how often libcurl began to send the request */
+	int64_t sent_us; /* when it first did */
 } transfer_t;
 
 /* A socket of libcurl that the loop watches. */
@@ -209,6 +215,20 @@
 	return size_bytes;
 }
 
+/* libcurl has a connection and is about to send a request, or to repeat it. */
+static int on_send(void *user, char *remote_ip, char *local_ip, int remote_port,
+		   int local_port)
+{
+	transfer_t *transfer = user;
+	int64_t now_us = g_get_monotonic_time();
+
+	if (transfer->sends++ == 0)
+		transfer->sent_us = now_us;
+	return now_us - transfer->sent_us > FORGOTTEN_MAX_US
+		       ? CURL_PREREQFUNC_ABORT
+		       : CURL_PREREQFUNC_OK;
+}
+
 static CURL *take_handle(dws_http_client_t *client)
 {
 	if (client->idle->len)
@@ -298,6 +318,8 @@
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_send);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
 }
 
 /* Sets method and body. */
@@ -571,6 +593,10 @@
 
 	if (status < STATUS_FIRST_FINAL || transfer->is_foreign)
 		return false;
+	/* It may be the second that was refused, and the first have run. */
+	if (transfer->sends > 1 &&
+	    (transfer->says_not_run || status == STATUS_MISDIRECTED))
+		return false;
 	if (!transfer->is_routed)
 		return is_delimited(transfer, status);
 	return !promises || transfer->says_not_run;
--- a/test/unit/test_io_http_client.c
+++ b/test/unit/test_io_http_client.c
@@ -48,6 +48,8 @@
 	uint32_t connections;
 	uint32_t requests;
 	const char *answer;
+	const char *next_answer; /* if not NULL: after the one above */
+	uint32_t answer_delay_us;
 	dws_http_client_t client;
 	uint64_t ended;
 	dws_dispatch_outcome_t outcome;
@@ -64,6 +66,9 @@
 
 	if (got > 0) {
 		upstream->requests++;
+		g_usleep(upstream->answer_delay_us);
+		if (upstream->next_answer)
+			upstream->answer = upstream->next_answer;
 		if (answer && answer[0]) {
 			io_send_text(watcher->fd, "HTTP/1.1 ");
 			io_send_text(watcher->fd, answer);
@@ -207,11 +212,38 @@
 	stop(&upstream);
 }
 
+/* What libcurl sends again by itself is no refusal, and never late. */
+static void test_sent_again(void)
+{
+	static const char refusal[] = "503 A\r\nContent-Length: 0\r\n"
+				      "Dogwoodshift-Outcome: not-run\r\n\r\n";
+	upstream_t upstream;
+
+	start(&upstream);
+	for (uint32_t delay_us = 0; delay_us <= 50000; delay_us += 50000) {
+		upstream.requests = 0;
+		upstream.answer = "200 A\r\nContent-Length: 2\r\n\r\nok";
+		CU_ASSERT_EQUAL(dispatch(&upstream, true, 20 * DWS_US_PER_S),
+				DWS_DISPATCH_ANSWERED);
+		upstream.answer = NULL;
+		upstream.next_answer = refusal;
+		upstream.answer_delay_us = delay_us;
+		CU_ASSERT_EQUAL(dispatch(&upstream, true, 20 * DWS_US_PER_S),
+				DWS_DISPATCH_LOST);
+		CU_ASSERT_FALSE(upstream.outcome.refused);
+		CU_ASSERT_EQUAL(upstream.requests, delay_us ? 2 : 3);
+		upstream.next_answer = NULL;
+		upstream.answer_delay_us = 0;
+	}
+	stop(&upstream);
+}
+
 int main(void)
 {
 	static const suite_test_t tests[] = {
 		{"dispatch", test_dispatch},
 		{"not sent", test_not_sent},
+		{"sent again", test_sent_again},
 		{"platform", test_platform},
 		{NULL, NULL},
 	};
