Ignore a hang-up signal that comes before the loop

Cause: SIGHUP ended a daemon that had not yet set up its loop, as the system's default does. The settings are read after it anyway. Test: platform 'hang-up at start' sends the signal while the daemon waits for its settings.

--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -2,6 +2,7 @@
  * dogwoodshiftd: the daemon's command line.
  */
 #include <popt.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/resource.h>
@@ -94,6 +95,8 @@
 	int result = poptGetNextOpt(context);
 	int status = EXIT_BAD_SETTINGS;
 
+	/* One that comes before the loop: the settings are read after it. */
+	signal(SIGHUP, SIG_IGN);
 	if (result < -1)
 		fprintf(stderr, "dogwoodshiftd: %s: %s; see --help\n",
 			poptBadOption(context, POPT_BADOPTION_NOALIAS),
--- a/test/failure/platform.c
+++ b/test/failure/platform.c
@@ -5,10 +5,14 @@
  * unframed or doubled, hang-ups, pipelining, the store's troubles, drains.
  */
 #include <CUnit/CUnit.h>
+#include <fcntl.h>
+#include <glib/gstdio.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include "support/platform.h"
@@ -666,6 +670,42 @@
 	platform_stop(platform);
 }
 
+/* A daemon that is told of changed settings before it has read them. */
+static void test_hang_up_at_start(void)
+{
+	const char *build = g_getenv("DWS_BUILD_DIR");
+	char *dir = g_dir_make_tmp("dws-start-XXXXXX", NULL);
+	char *pipe_path = g_build_filename(dir, "settings.yaml", NULL);
+	char *program =
+		g_strdup_printf("%s/dogwoodshiftd", build ? build : "build");
+	char *arguments[] = {program, "--check", "--settings", pipe_path, NULL};
+	static const char text[] =
+		"vm_id: a\nzone: a\nregion: r\ncallers_listen: 127.0.0.1:1\n"
+		"upstream_listen: 127.0.0.1:2\nadmin_listen: 127.0.0.1:3\n"
+		"frame_listen: 127.0.0.1:4\ndatagram_listen: 127.0.0.1:4\n";
+	GPid daemon;
+	int status = -1;
+
+	CU_ASSERT_EQUAL_FATAL(mkfifo(pipe_path, 0600), 0);
+	CU_ASSERT_TRUE_FATAL(g_spawn_async(NULL, arguments, NULL,
+					   G_SPAWN_DO_NOT_REAP_CHILD |
+						   G_SPAWN_STDOUT_TO_DEV_NULL,
+					   NULL, NULL, &daemon, NULL));
+	/* Returns once the daemon has begun to read its settings. */
+	int fd = open(pipe_path, O_WRONLY | O_CLOEXEC);
+
+	kill(daemon, SIGHUP);
+	CU_ASSERT_EQUAL(write(fd, text, strlen(text)), (ssize_t)strlen(text));
+	close(fd);
+	waitpid(daemon, &status, 0);
+	CU_ASSERT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+	g_remove(pipe_path);
+	g_rmdir(dir);
+	g_free(program);
+	g_free(pipe_path);
+	g_free(dir);
+}
+
 int main(void)
 {
 	static const suite_test_t tests[] = {
@@ -687,6 +727,7 @@
 		{"why", test_causes_are_found_by_the_id},
 		{"metrics", test_metrics_tell_of_requests},
 		{"reload", test_settings_are_read_again},
+		{"hang-up at start", test_hang_up_at_start},
 		{NULL, NULL},
 	};
 
