Add a randomized soak of real daemons

Daemons run as processes; relays stand between all of them, their callers, upstreams and the store, and delay, hold, silence, reset or lose what goes through; processes are paused, killed, stopped and told to reload by signals; the store goes down, silent or forgets; upstreams lose, double and fault answers, leave and are replaced; configurations come in series. The oracle compares what callers and upstreams saw: at most once, true refusals, whole own answers, routes, callers' names, versions that never go back, upstreams per attempt, the shared retry budget, deadlines, connections cut by a stop, memory, processes that end by themselves, and recovery.

--- /dev/null
+++ b/test/soak/fleet.c
@@ -0,0 +1,240 @@
+/*
+ * Start, end and recovery of a soak's fleet.
+ */
+#include "soak/fleet.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+
+#define ZONES 3
+#define VERSION_STEP_MAX 4
+#define CALL_TIME_MS 3000
+#define RECOVERY_STEP_US 50000
+/* In which a fleet without faults has to serve again. */
+#define RECOVERY_MAX_US (60 * G_USEC_PER_SEC)
+/* What a daemon may use for its control, and its few calls here. */
+#define MEMORY_MAX_KB (64 * 1024)
+
+static const char *const services[] = {"web", "pay", "deep"};
+static const char *const zones[ZONES] = {"a", "b", "c"};
+
+/* The service that a path leads to. */
+const char *fleet_service_of(const char *path)
+{
+	if (g_str_has_prefix(path, PATH_PAY) ||
+	    g_str_has_prefix(path, PATH_MIDDLE))
+		return services[1];
+	return g_str_has_prefix(path, PATH_LEAF) ? services[2] : services[0];
+}
+
+static void append_rule(GString *text, const char *prefix, const char *kind,
+			int priority)
+{
+	g_string_append_printf(
+		text,
+		"%s{\"name\":\"rule-%.*s\",\"kind\":\"%s\",\"priority\":%d,"
+		"\"target_latency\":\"1s\",\"match\":{\"prefix\":\"%s\"},"
+		"\"action\":{\"service\":\"%s\",\"timeout\":\"20s\","
+		"\"attempts\":2}}",
+		g_str_has_suffix(text->str, "[") ? "" : ",",
+		(int)strlen(prefix) - 2, prefix + 1, kind, priority, prefix,
+		fleet_service_of(prefix));
+}
+
+/* Writes the next configuration, which alone has a route of its version. */
+void fleet_configure(fleet_t *fleet)
+{
+	static const char *const prefixes[] = {PATH_BROWSE, PATH_TREE,
+					       PATH_MIDDLE, PATH_LEAF};
+	GString *text =
+		g_string_new("[{\"host\":\"shop.example\",\"policy\":[");
+	int version = g_atomic_int_get(&fleet->version) +
+		      g_rand_int_range(fleet->random, 1, VERSION_STEP_MAX);
+	char prefix[16];
+
+	g_snprintf(prefix, sizeof(prefix), "/v%d/", version);
+	append_rule(text, prefix, "idempotent", 0);
+	append_rule(text, PATH_PAY, "non_idempotent", 2);
+	for (size_t i = 0; i < G_N_ELEMENTS(prefixes); i++)
+		append_rule(text, prefixes[i], "idempotent", 1);
+	g_string_append(text, "]}]");
+	platform_configure(&fleet->platform, version, text->str);
+	g_atomic_int_set(&fleet->version, version);
+	g_string_free(text, TRUE);
+}
+
+/* Starts the daemon of a VM. */
+void fleet_start_daemon(fleet_vm_t *vm)
+{
+	g_atomic_int_set(&vm->seen_version, 0);
+	g_atomic_int_inc(&vm->lifetime);
+	vm->process = PROCESS_RUNS;
+	platform_start_daemon(vm->stand_in);
+}
+
+/* Puts a relay before each address of a VM. */
+static void add_relays(fleet_t *fleet, fleet_vm_t *vm)
+{
+	const platform_vm_t *stand_in = vm->stand_in;
+	const platform_t *platform = &fleet->platform;
+	const char *from = stand_in->ip;
+	const char *to = stand_in->bind_ip;
+
+	relays_add(fleet->relays, &vm->links[LINK_FRAMES], true, from, to,
+		   platform->ports[PORT_FRAMES]);
+	relays_add(fleet->relays, &vm->links[LINK_DATAGRAMS], false, from, to,
+		   platform->ports[PORT_FRAMES]);
+	relays_add(fleet->relays, &vm->links[LINK_CALLERS], true, from, to,
+		   platform->ports[PORT_ROUTED]);
+	relays_add(fleet->relays, &vm->links[LINK_UPSTREAM], true, from, to,
+		   platform->ports[PORT_UPSTREAM]);
+	relays_add(fleet->relays, &vm->links[LINK_STORE], true, from,
+		   PLATFORM_STORE_IP, platform->store_port);
+}
+
+static void add_vm(fleet_t *fleet, int number)
+{
+	fleet_vm_t *vm = &fleet->vms[number];
+
+	vm->fleet = fleet;
+	vm->stand_in = platform_add_vm(
+		&fleet->platform, services[number % G_N_ELEMENTS(services)]);
+	g_strlcpy(vm->stand_in->zone,
+		  zones[number / G_N_ELEMENTS(services) % ZONES],
+		  sizeof(vm->stand_in->zone));
+	platform_register(vm->stand_in, "ready");
+	add_relays(fleet, vm);
+}
+
+/* Starts a fleet. */
+fleet_t *fleet_new(guint32 seed, int vm_count)
+{
+	fleet_t *fleet = g_new0(fleet_t, 1);
+
+	fleet->random = g_rand_new_with_seed(seed);
+	fleet->oracle = oracle_new(seed);
+	fleet->relays = relays_new();
+	fleet->vm_count = vm_count;
+	fleet->vms = g_new0(fleet_vm_t, vm_count);
+	platform_start(&fleet->platform);
+	fleet->platform.has_relays = true;
+	fleet->platform.serve = fleet_serve;
+	fleet_configure(fleet);
+	for (int i = 0; i < vm_count; i++)
+		add_vm(fleet, i);
+	relays_start(fleet->relays);
+	for (int i = 0; i < vm_count; i++)
+		fleet_start_daemon(&fleet->vms[i]);
+	for (int i = 0; i < vm_count; i++) {
+		if (!platform_await_ready(fleet->vms[i].stand_in))
+			oracle_broken(fleet->oracle, "vm %d never got ready",
+				      i);
+	}
+	return fleet;
+}
+
+/* Ends all that a fleet started. */
+void fleet_free(fleet_t *fleet)
+{
+	/* Silenced connections end with their relays alone. */
+	relays_free(fleet->relays);
+	platform_stop(&fleet->platform);
+	oracle_free(fleet->oracle);
+	g_rand_free(fleet->random);
+	g_free(fleet->vms);
+	g_free(fleet);
+}
+
+/* Takes note of a daemon that has ended, and starts it again. */
+static void take_end(fleet_vm_t *vm, int status)
+{
+	oracle_t *oracle = vm->fleet->oracle;
+
+	vm->stand_in->daemon = 0;
+	if (vm->process != PROCESS_STOPPING)
+		oracle_broken(oracle, "vm %d ended by itself, status %x",
+			      vm->stand_in->number, (unsigned int)status);
+	else if (!WIFEXITED(status) || WEXITSTATUS(status) != 0)
+		oracle_broken(oracle, "vm %d stopped with status %x",
+			      vm->stand_in->number, (unsigned int)status);
+	fleet_start_daemon(vm);
+}
+
+/* Looks after processes that ended. */
+void fleet_reap(fleet_t *fleet)
+{
+	for (int i = 0; i < fleet->vm_count; i++) {
+		fleet_vm_t *vm = &fleet->vms[i];
+		int status = 0;
+
+		if (vm->stand_in->daemon != 0 &&
+		    waitpid(vm->stand_in->daemon, &status, WNOHANG) > 0)
+			take_end(vm, status);
+	}
+}
+
+/* True if a daemon serves a path now, with an answer of an upstream. */
+static bool serves(fleet_vm_t *vm, const char *path, int version)
+{
+	order_t *order = caller_order(vm, path, CALL_TIME_MS);
+	bool is_payment = g_str_has_prefix(path, PATH_PAY);
+
+	order->version = version;
+	order->version_floor = g_atomic_int_get(&vm->seen_version);
+	return caller_call(vm, order, is_payment ? "POST" : "GET", path) == 200;
+}
+
+/* Waits until a daemon serves a path. */
+static void check_serves(fleet_vm_t *vm, const char *path, int version)
+{
+	fleet_t *fleet = vm->fleet;
+	int64_t until_us = g_get_monotonic_time() + RECOVERY_MAX_US;
+
+	while (!serves(vm, path, version)) {
+		fleet_reap(fleet);
+		if (g_get_monotonic_time() > until_us) {
+			oracle_broken(fleet->oracle, "vm %d never serves %s",
+				      vm->stand_in->number, path);
+			return;
+		}
+		g_usleep(RECOVERY_STEP_US);
+	}
+}
+
+static void check_memory(fleet_vm_t *vm)
+{
+	char *file = g_strdup_printf("/proc/%d/status", vm->stand_in->daemon);
+	char *text = NULL;
+	const char *peak;
+
+	if (g_file_get_contents(file, &text, NULL, NULL) &&
+	    (peak = strstr(text, "VmHWM:")) &&
+	    strtol(peak + strlen("VmHWM:"), NULL, 10) > MEMORY_MAX_KB)
+		oracle_broken(vm->fleet->oracle, "vm %d took %.20s of memory",
+			      vm->stand_in->number, peak);
+	g_free(text);
+	g_free(file);
+}
+
+/* Checks that a fleet without faults serves again, everywhere. */
+void fleet_check_recovery(fleet_t *fleet)
+{
+	char path[16];
+
+	fleet_configure(fleet);
+	g_snprintf(path, sizeof(path), "/v%d/", fleet->version);
+	for (int i = 0; i < fleet->vm_count; i++) {
+		fleet_vm_t *vm = &fleet->vms[i];
+
+		if (!platform_await_ready(vm->stand_in))
+			oracle_broken(fleet->oracle, "vm %d is never ready", i);
+		check_serves(vm, path, fleet->version);
+		check_serves(vm, PATH_PAY, 0);
+		check_serves(vm, PATH_TREE, 0);
+		check_memory(vm);
+	}
+}
--- /dev/null
+++ b/test/soak/soak.c
@@ -0,0 +1,123 @@
+/*
+ * A randomized soak of real daemons. Each seed starts a fleet, lets callers
+ * work at it while faults of all kinds come and go, and checks the promises
+ * from what callers and upstreams saw. Without options it runs the seeds that
+ * once failed and a few fixed ones; a failed seed keeps its logs.
+ */
+#include "soak/fleet.h"
+
+#include <glib/gstdio.h>
+#include <popt.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CALLERS_PER_VM 3
+#define DEFAULT_SECONDS 8
+#define DEFAULT_VMS 9
+#define MIN_VMS 6
+
+/* A seed that once failed, and why. */
+typedef struct regression {
+	guint32 seed;
+	int vms;
+	int seconds;
+	const char *cause;
+} regression_t;
+
+static const regression_t regressions[] = {
+	{1, DEFAULT_VMS, DEFAULT_SECONDS,
+	 "the HTTP library had sent a request twice; the second was refused"},
+	{4, DEFAULT_VMS, DEFAULT_SECONDS,
+	 "a stream between daemons fell silent, and nothing told so"},
+	{150, DEFAULT_VMS, DEFAULT_SECONDS,
+	 "told to read its settings again, a daemon that had just begun ended"},
+};
+
+/* Removes the logs of a fleet that kept all promises. */
+static void remove_logs(const char *dir)
+{
+	GDir *files = g_dir_open(dir, 0, NULL);
+
+	for (const char *name; files && (name = g_dir_read_name(files));) {
+		char *path = g_build_filename(dir, name, NULL);
+
+		g_remove(path);
+		g_free(path);
+	}
+	if (files)
+		g_dir_close(files);
+	g_rmdir(dir);
+}
+
+/* Runs one seed; the number of broken promises. */
+static int run_seed(guint32 seed, int vm_count, int seconds)
+{
+	fleet_t *fleet = fleet_new(seed, vm_count);
+	int caller_count = vm_count * CALLERS_PER_VM;
+	caller_t **callers = g_new0(caller_t *, caller_count);
+	char *dir = g_strdup(fleet->platform.dir);
+	int broken;
+
+	for (int i = 0; i < caller_count; i++)
+		callers[i] = caller_new(&fleet->vms[i % vm_count],
+					seed * 1000 + (guint32)i);
+	schedule_run(fleet, seconds);
+	g_atomic_int_set(&fleet->stopping, 1);
+	for (int i = 0; i < caller_count; i++)
+		caller_join(callers[i]);
+	fleet_check_recovery(fleet);
+	broken = oracle_finish(fleet->oracle);
+	fleet_free(fleet);
+	if (broken)
+		printf("seed %u: logs are in %s\n", seed, dir);
+	else
+		remove_logs(dir);
+	g_free(callers);
+	g_free(dir);
+	return broken;
+}
+
+static int run_fixed(void)
+{
+	int failed = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(regressions); i++) {
+		const regression_t *known = &regressions[i];
+
+		printf("seed %u (%s)\n", known->seed, known->cause);
+		failed += run_seed(known->seed, known->vms, known->seconds) > 0;
+	}
+	return failed;
+}
+
+int main(int argc, const char **argv)
+{
+	int seed = 0, seeds = 1, seconds = DEFAULT_SECONDS, vms = DEFAULT_VMS;
+	int failed = 0;
+	const struct poptOption options[] = {
+		{"seed", 's', POPT_ARG_INT, &seed, 0,
+		 "first seed; 0: the fixed ones", "N"},
+		{"seeds", 'n', POPT_ARG_INT, &seeds, 0, "how many", "N"},
+		{"seconds", 't', POPT_ARG_INT, &seconds, 0, "of faults", "S"},
+		{"vms", 'v', POPT_ARG_INT, &vms, 0, "daemons", "N"},
+		POPT_AUTOHELP POPT_TABLEEND};
+	poptContext context = poptGetContext(NULL, argc, argv, options, 0);
+
+	if (poptGetNextOpt(context) < -1 || vms < MIN_VMS ||
+	    vms > PLATFORM_MAX_VMS || seeds < 1 || seconds < 1) {
+		fprintf(stderr,
+			"soak: give a seed, and %d to %d VMs; see "
+			"--help\n",
+			MIN_VMS, PLATFORM_MAX_VMS);
+		return 2;
+	}
+	poptFreeContext(context);
+	if (seed == 0)
+		failed = run_fixed();
+	for (int i = 0; seed > 0 && i < seeds; i++)
+		failed += run_seed((guint32)(seed + i), vms, seconds) > 0;
+	printf("%d seeds failed\n", failed);
+	return failed ? 1 : 0;
+}
--- a/test/support/platform.c
+++ b/test/support/platform.c
@@ -10,6 +10,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -20,8 +21,6 @@
 #define HEAD_MAX_BYTES 16384
 #define SLOTS 8
 
-enum { PORT_FRAMES, PORT_ROUTED, PORT_READY, PORT_ADMIN, PORT_UPSTREAM };
-
 typedef struct store_item {
 	char *key;
 	char *value; /* NULL: removed */
@@ -72,7 +71,7 @@
 }
 
 /* Reads a head up to its empty line; NULL if the connection ended. */
-static char *read_head(int fd)
+char *platform_read_head(int fd)
 {
 	GString *head = g_string_new(NULL);
 	char byte;
@@ -87,7 +86,7 @@
 }
 
 /* The value of a header; freed with g_free(); NULL if absent. */
-static char *header_of(const char *head, const char *name)
+char *platform_header(const char *head, const char *name)
 {
 	char *start = g_strdup_printf("\r\n%s: ", name);
 	const char *at = strstr(head, start);
@@ -101,30 +100,37 @@
 	return value;
 }
 
-/* Reads and drops the body that a head announces. */
-static void skip_body(int fd, const char *head)
+/* Reads and drops the body that a head announces; its size. */
+static size_t skip_body(int fd, const char *head)
 {
-	char *length = header_of(head, "Content-Length");
+	char *length = platform_header(head, "Content-Length");
 	gint64 left = length ? g_ascii_strtoll(length, NULL, 10) : 0;
+	size_t size_bytes = 0;
 	char byte;
 
 	while (left-- > 0 && recv(fd, &byte, 1, 0) == 1)
-		;
+		size_bytes++;
 	g_free(length);
+	return size_bytes;
 }
 
-static void send_text(int fd, const char *text)
+/* Sends a whole text; false if the connection ended. */
+bool platform_send(int fd, const char *text, size_t size_bytes)
 {
-	size_t left = strlen(text);
-
-	while (left > 0) {
-		ssize_t sent = send(fd, text, left, MSG_NOSIGNAL);
+	while (size_bytes > 0) {
+		ssize_t sent = send(fd, text, size_bytes, MSG_NOSIGNAL);
 
 		if (sent <= 0)
-			return;
+			return false;
 		text += sent;
-		left -= (size_t)sent;
+		size_bytes -= (size_t)sent;
 	}
+	return true;
+}
+
+static void send_text(int fd, const char *text)
+{
+	platform_send(fd, text, strlen(text));
 }
 
 /* The newest change of each key, in the order of the changes. */
@@ -354,12 +360,16 @@
 static bool serve_upstream(served_t *served, const char *head)
 {
 	platform_vm_t *vm = served->vm;
-	char *target = header_of(head, "Target-Instance");
-	char *attempt = header_of(head, "Attempt-Id");
+	size_t body_size_bytes = skip_body(served->fd, head);
+
+	if (vm->platform->serve)
+		return vm->platform->serve(vm, served->fd, head,
+					   body_size_bytes);
+	char *target = platform_header(head, "Target-Instance");
+	char *attempt = platform_header(head, "Attempt-Id");
 	platform_run_t *run = NULL;
 	bool goes_on = true;
 
-	skip_body(served->fd, head);
 	g_mutex_lock(&vm->platform->lock);
 	bool is_other = target && strcmp(target, vm->upstream_id) != 0;
 	bool sheds = strstr(head, "/shed") && vm->number == 0;
@@ -387,12 +397,13 @@
 	bool goes_on = true;
 	char *head;
 
-	while (goes_on && (head = read_head(served->fd))) {
+	while (goes_on && (head = platform_read_head(served->fd))) {
 		goes_on = served->vm ? serve_upstream(served, head)
 				     : serve_store(served, head);
 		g_free(head);
 	}
 	close(served->fd);
+	g_atomic_int_add(&served->platform->serving, -1);
 	g_free(served);
 	return NULL;
 }
@@ -407,6 +418,7 @@
 		served_t *served = g_memdup2(listener, sizeof(*listener));
 
 		served->fd = fd;
+		g_atomic_int_inc(&served->platform->serving);
 		g_thread_unref(g_thread_new("serve", serve, served));
 	}
 	g_free(listener);
@@ -434,12 +446,12 @@
 	platform->items = g_ptr_array_new_with_free_func(free_item);
 	platform->runs = g_ptr_array_new_with_free_func(free_run);
 	platform->dir = g_dir_make_tmp("dws-platform-XXXXXX", NULL);
-	for (int i = 0; i < 5; i++)
+	for (int i = 0; i < PLATFORM_PORTS; i++)
 		platform->ports[i] =
 			port_reserve(SOCK_STREAM, &platform->reserved[i]);
 	platform->store_port =
-		port_reserve(SOCK_STREAM, &platform->reserved[5]);
-	platform->store_fd = listen_on("127.0.1.100", platform->store_port);
+		port_reserve(SOCK_STREAM, &platform->reserved[PLATFORM_PORTS]);
+	platform->store_fd = listen_on(PLATFORM_STORE_IP, platform->store_port);
 	listen_for(platform, NULL, platform->store_fd);
 }
 
@@ -463,18 +475,18 @@
 	char *key = g_strdup_printf("servers/%s", vm->upstream_id);
 	char *value = g_strdup_printf(
 		"{\"addr\":\"%s:%u\",\"born\":%d,\"info\":{\"service\":\"%s\","
-		"\"version\":\"v1\",\"zone\":\"a\",\"max_concurrency\":%d},"
+		"\"version\":\"v1\",\"zone\":\"%s\",\"max_concurrency\":%d},"
 		"\"status\":{\"state\":\"%s\",\"seq\":1,"
 		"\"cold_left\":\"0ms\"}}",
 		vm->ip, vm->platform->ports[PORT_UPSTREAM], vm->number + 1,
-		vm->service, SLOTS, state);
+		vm->service, vm->zone, SLOTS, state);
 
 	platform_put(vm->platform, key, value);
 	g_free(key);
 	g_free(value);
 }
 
-/* Writes a configuration for two services. */
+/* Writes a configuration for three services. */
 void platform_configure(platform_t *platform, int version,
 			const char *listeners)
 {
@@ -483,7 +495,8 @@
 		"\"max_body_bytes\":100000,\"header_timeout\":\"3000ms\","
 		"\"idle_timeout\":\"15s\"},\"listeners\":%s,\"clusters\":["
 		"{\"name\":\"web\",\"health_path\":\"/h\",\"max_conns\":50},"
-		"{\"name\":\"pay\",\"health_path\":\"/h\",\"max_conns\":50}]}",
+		"{\"name\":\"pay\",\"health_path\":\"/h\",\"max_conns\":50},"
+		"{\"name\":\"deep\",\"health_path\":\"/h\",\"max_conns\":50}]}",
 		version, listeners);
 
 	platform_put(platform, "op/config", value);
@@ -516,10 +529,14 @@
 	vm->platform = platform;
 	vm->number = platform->vm_count++;
 	g_snprintf(vm->ip, sizeof(vm->ip), "127.0.1.%d", vm->number + 1);
+	g_snprintf(vm->bind_ip, sizeof(vm->bind_ip), "127.0.%d.%d",
+		   platform->has_relays ? 2 : 1, vm->number + 1);
+	g_strlcpy(vm->zone, "a", sizeof(vm->zone));
 	g_strlcpy(vm->service, service, sizeof(vm->service));
 	g_snprintf(vm->upstream_id, sizeof(vm->upstream_id), "u-%d",
 		   vm->number);
-	vm->upstream_fd = listen_on(vm->ip, platform->ports[PORT_UPSTREAM]);
+	vm->upstream_fd =
+		listen_on(vm->bind_ip, platform->ports[PORT_UPSTREAM]);
 	listen_for(platform, vm, vm->upstream_fd);
 	platform_register(vm, "ready");
 	vm->settings = g_strdup_printf("%s/%d.yaml", platform->dir, vm->number);
@@ -527,25 +544,38 @@
 	return vm;
 }
 
-static void write_settings(platform_vm_t *vm)
+/*
+ * Writes the settings of a VM's daemon. With relays it is reached, and reaches
+ * its upstream and the store, by the IP number that peers know.
+ */
+void platform_write_settings(platform_vm_t *vm, const char *more)
 {
-	const uint16_t *ports = vm->platform->ports;
+	const platform_t *platform = vm->platform;
+	const uint16_t *ports = platform->ports;
 	char *text = g_strdup_printf(
-		"vm_id: %s\nzone: a\nregion: r\nservice: %s\n"
+		"vm_id: %s\nzone: %s\nregion: r\nservice: %s\n"
 		"upstream: %s:%u\nrouted_listen: %s:%u\nready_listen: %s:%u\n"
 		"admin_listen: %s:%u\nadmin_any_address: true\n"
-		"frame_listen: %s:%u\ndatagram_listen: %s:%u\n"
-		"platform: 127.0.1.100:%u\nplatform_protocol: store\n"
-		"policy: fixed\nprobe_interval_ms: 100\nlog_file: %s\n",
-		vm->ip, vm->service, vm->ip, ports[PORT_UPSTREAM], vm->ip,
-		ports[PORT_ROUTED], vm->ip, ports[PORT_READY], vm->ip,
-		ports[PORT_ADMIN], vm->ip, ports[PORT_FRAMES], vm->ip,
-		ports[PORT_FRAMES], vm->platform->store_port, vm->log);
+		"frame_listen: %s:%u\ndatagram_listen: %s:%u\nbind_ip: %s\n"
+		"platform: %s:%u\nplatform_protocol: store\n"
+		"policy: fixed\nprobe_interval_ms: 100\nlog_file: %s\n%s",
+		vm->ip, vm->zone, vm->service, vm->ip, ports[PORT_UPSTREAM],
+		vm->bind_ip, ports[PORT_ROUTED], vm->bind_ip, ports[PORT_READY],
+		vm->bind_ip, ports[PORT_ADMIN], vm->ip, ports[PORT_FRAMES],
+		vm->ip, ports[PORT_FRAMES], vm->bind_ip,
+		platform->has_relays ? vm->ip : PLATFORM_STORE_IP,
+		platform->store_port, vm->log, more);
 
 	g_file_set_contents(vm->settings, text, -1, NULL);
 	g_free(text);
 }
 
+/* Ends a daemon when the test program ends, however that ends. */
+static void die_with_parent(gpointer unused)
+{
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
 /* Starts the daemon of a VM. */
 void platform_start_daemon(platform_vm_t *vm)
 {
@@ -555,9 +585,9 @@
 	char *arguments[] = {program, "--settings", vm->settings, NULL};
 	GError *error = NULL;
 
-	write_settings(vm);
+	platform_write_settings(vm, "");
 	if (!g_spawn_async(NULL, arguments, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
-			   NULL, NULL, &vm->daemon, &error)) {
+			   die_with_parent, NULL, &vm->daemon, &error)) {
 		fprintf(stderr, "%s; build it first\n", error->message);
 		exit(1);
 	}
@@ -592,7 +622,7 @@
 /* The status of the readiness listener. */
 long platform_readiness(platform_vm_t *vm)
 {
-	char *url = g_strdup_printf("http://%s:%u/v1/readyz", vm->ip,
+	char *url = g_strdup_printf("http://%s:%u/v1/readyz", vm->bind_ip,
 				    vm->platform->ports[PORT_READY]);
 	http_exchange_t exchange;
 	long status;
@@ -688,6 +718,11 @@
 	return head;
 }
 
+static bool is_idle(void *context)
+{
+	return g_atomic_int_get(&((platform_t *)context)->serving) == 0;
+}
+
 /* Ends all processes that were started, and the stand-ins. */
 void platform_stop(platform_t *platform)
 {
@@ -702,6 +737,7 @@
 	g_cond_broadcast(&platform->changed);
 	g_mutex_unlock(&platform->lock);
 	shutdown(platform->store_fd, SHUT_RDWR);
-	for (int i = 0; i < 6; i++)
+	platform_await(is_idle, platform);
+	for (int i = 0; i <= PLATFORM_PORTS; i++)
 		close(platform->reserved[i]);
 }
