--- a/src/connection/http_client_io.c
+++ b/src/connection/http_client_io.c
@@ -19,7 +19,8 @@
 #define LATE_ANSWER_MS 30000
 /* Beyond the time that the platform was asked to wait. */
 #define PLATFORM_EXTRA_MS 2000
-#define PLATFORM_SLACK_BYTES (64 * 1024)
+/* A page of values of 1 MB in base64, or a document, and what is around it. */
+#define PLATFORM_ANSWER_MAX_BYTES (4 * 1024 * 1024)
 #define IDLE_HANDLES_MAX 128U
 #define IDLE_CONNECTIONS_MAX 128L
 #define URL_SIZE 128
@@ -518,7 +519,7 @@
 	transfer->done = done;
 	transfer->done_context = context;
 	transfer->tag = tag;
-	transfer->body_max_bytes = DWS_CONFIG_MAX_BYTES + PLATFORM_SLACK_BYTES;
+	transfer->body_max_bytes = PLATFORM_ANSWER_MAX_BYTES;
 	set_common(transfer, &client->platform, target, timeout_ms);
 	curl_multi_add_handle(client->multi, transfer->easy);
 }
--- a/src/connection/stream_io.h
+++ b/src/connection/stream_io.h
@@ -15,7 +15,7 @@
 
 #define DWS_FRAME_HEADER_BYTES 4
 /* Room in a frame for what is not the body of a request or document. */
-#define DWS_FRAME_SLACK_BYTES (1200 * 1024)
+#define DWS_FRAME_SLACK_BYTES (2200 * 1024)
 
 /* What the owner of the streams is told; never from within a function. */
 typedef struct dws_stream_ops {
--- a/src/version/config.c
+++ b/src/version/config.c
@@ -21,12 +21,6 @@
 	.idle_timeout_ms = 15000,
 };
 
-/* Frees the routes of one host, held by the index. */
-static void free_routes(void *data)
-{
-	g_ptr_array_unref(data);
-}
-
 /* Frees a slowdown held by the configuration's array. */
 static void free_slowdown(void *data)
 {
@@ -43,8 +37,8 @@
 	config->services = g_array_new(FALSE, TRUE, sizeof(dws_service_t));
 	config->kinds = g_array_new(FALSE, TRUE, sizeof(dws_kind_t));
 	config->routes = g_array_new(FALSE, TRUE, sizeof(dws_route_t));
-	config->routes_by_host = g_hash_table_new_full(g_str_hash, g_str_equal,
-						       NULL, free_routes);
+	config->routes_by_host = g_hash_table_new_full(
+		g_str_hash, g_str_equal, NULL, dws_config_free_host_routes);
 	config->caller_limits = dws_default_caller_limits;
 	config->slowdowns = g_ptr_array_new_with_free_func(free_slowdown);
 	config->customer_retries_per_min = DEFAULT_CUSTOMER_RETRIES_PER_MIN;
--- a/src/version/config.h
+++ b/src/version/config.h
@@ -7,9 +7,10 @@
 
 #include "version/document.h"
 
-#define DWS_CONFIG_MAX_BYTES (1024 * 1024)
+/* A document of 1 MB of the platform takes up to twice as much here. */
+#define DWS_CONFIG_MAX_BYTES DWS_DOCUMENT_MAX_BYTES
 #define DWS_NAME_SIZE 64
-#define DWS_CONFIG_MAX_ENTRIES 1024 /* services, kinds, routes, slowdowns */
+#define DWS_CONFIG_MAX_ENTRIES 8192 /* services, kinds, routes, slowdowns */
 #define DWS_HOST_SIZE 256
 #define DWS_ROUTE_PREFIX_SIZE 256
 #define DWS_ROUTE_MAX_TARGETS 16
@@ -87,7 +88,7 @@
 	GArray *services; /* dws_service_t */
 	GArray *kinds; /* dws_kind_t; indexes are stable in a version */
 	GArray *routes; /* dws_route_t */
-	GHashTable *routes_by_host; /* host to GPtrArray of dws_route_t * */
+	GHashTable *routes_by_host; /* host to the index of its routes */
 	dws_caller_limits_t caller_limits;
 	GPtrArray *slowdowns; /* dws_slowdown_t *, owned */
 	uint32_t customer_retries_per_min;
--- a/src/version/config_read.h
+++ b/src/version/config_read.h
@@ -23,8 +23,10 @@
 /* Reads what callers may send; all keys have defaults. */
 void dws_config_read_caller_limits(dws_config_t *config,
 				   const dws_fields_t *fields);
-/* Sorts the routes for lookups, once all have been read. */
+/* Indexes the routes for lookups, once all have been read. */
 void dws_config_index_routes(dws_config_t *config);
+/* Frees the index of one host; for the table that owns it. */
+void dws_config_free_host_routes(gpointer routes);
 /* Needs the kinds to be read before. */
 void dws_config_read_slowdown(dws_config_t *config, const dws_fields_t *fields,
 			      const char *name);
--- a/src/version/config_route.c
+++ b/src/version/config_route.c
@@ -146,41 +146,68 @@
 			  &limits->idle_timeout_ms);
 }
 
-/* Orders routes by the length of their prefixes, the longest first. */
-static int compare_routes(gconstpointer a, gconstpointer b)
+/* The routes of one host. */
+typedef struct host_routes {
+	GHashTable *by_prefix; /* text to dws_route_t, both borrowed */
+	GArray *lengths; /* uint32_t, of the prefixes, the longest first */
+} host_routes_t;
+
+/* Frees the index of a host. */
+void dws_config_free_host_routes(gpointer data)
 {
-	const dws_route_t *const *first = a;
-	const dws_route_t *const *second = b;
-	size_t first_length = strlen((*first)->path_prefix);
-	size_t second_length = strlen((*second)->path_prefix);
-
-	if (first_length != second_length)
-		return first_length > second_length ? -1 : 1;
-	return strcmp((*first)->name, (*second)->name);
+	host_routes_t *routes = data;
+
+	g_hash_table_destroy(routes->by_prefix);
+	g_array_free(routes->lengths, TRUE);
+	g_free(routes);
 }
 
-/* Sorts the routes for lookups, once all have been read. */
-void dws_config_index_routes(dws_config_t *config)
+static host_routes_t *routes_of_host(dws_config_t *config, char *host)
+{
+	host_routes_t *routes =
+		g_hash_table_lookup(config->routes_by_host, host);
+
+	if (routes)
+		return routes;
+	routes = g_new0(host_routes_t, 1);
+	routes->by_prefix = g_hash_table_new(g_str_hash, g_str_equal);
+	routes->lengths = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	g_hash_table_insert(config->routes_by_host, host, routes);
+	return routes;
+}
+
+/* Adds a length where it belongs, once. */
+static void add_length(GArray *lengths, uint32_t length)
 {
-	GHashTableIter iter;
-	gpointer routes;
+	guint at = 0;
 
+	while (at < lengths->len &&
+	       g_array_index(lengths, uint32_t, at) > length)
+		at++;
+	if (at == lengths->len ||
+	    g_array_index(lengths, uint32_t, at) != length)
+		g_array_insert_val(lengths, at, length);
+}
+
+/*
+ * Indexes the routes for lookups, once all have been read. Of two with the same
+ * host and prefix, the first by name counts.
+ */
+void dws_config_index_routes(dws_config_t *config)
+{
 	for (guint i = 0; i < config->routes->len; i++) {
 		dws_route_t *route =
 			&g_array_index(config->routes, dws_route_t, i);
-		GPtrArray *of_host = g_hash_table_lookup(config->routes_by_host,
-							 route->host);
-
-		if (!of_host) {
-			of_host = g_ptr_array_new();
-			g_hash_table_insert(config->routes_by_host, route->host,
-					    of_host);
-		}
-		g_ptr_array_add(of_host, route);
+		host_routes_t *routes = routes_of_host(config, route->host);
+
+		if (g_hash_table_contains(routes->by_prefix,
+					  route->path_prefix))
+			continue;
+		g_hash_table_insert(routes->by_prefix, route->path_prefix,
+				    route);
+		add_length(routes->lengths,
+			   (uint32_t)strlen(route->path_prefix));
 	}
-	g_hash_table_iter_init(&iter, config->routes_by_host);
-	while (g_hash_table_iter_next(&iter, NULL, &routes))
-		g_ptr_array_sort(routes, compare_routes);
 }
 
 /* Copies a host in small letters and without its port; false if too long. */
@@ -200,16 +227,24 @@
 const dws_route_t *dws_config_route(const dws_config_t *config,
 				    const char *host, const char *path)
 {
-	char plain[DWS_HOST_SIZE];
-	const GPtrArray *routes;
+	char text[MAX(DWS_HOST_SIZE, DWS_ROUTE_PREFIX_SIZE)];
+	size_t length = strlen(path);
+	const host_routes_t *routes;
 
-	if (!plain_host(plain, sizeof(plain), host))
+	if (!plain_host(text, sizeof(text), host))
 		return NULL;
-	routes = g_hash_table_lookup(config->routes_by_host, plain);
-	for (guint i = 0; routes && i < routes->len; i++) {
-		const dws_route_t *route = routes->pdata[i];
+	routes = g_hash_table_lookup(config->routes_by_host, text);
+	for (guint i = 0; routes && i < routes->lengths->len; i++) {
+		uint32_t prefix_length =
+			g_array_index(routes->lengths, uint32_t, i);
+		const dws_route_t *route;
 
-		if (g_str_has_prefix(path, route->path_prefix))
+		if (prefix_length > length)
+			continue;
+		memcpy(text, path, prefix_length);
+		text[prefix_length] = '\0';
+		route = g_hash_table_lookup(routes->by_prefix, text);
+		if (route)
 			return route;
 	}
 	return NULL;
--- a/src/version/document_parse.c
+++ b/src/version/document_parse.c
@@ -104,7 +104,7 @@
 	if (++parse->values > DWS_DOCUMENT_MAX_VALUES)
 		return fail(
 			parse, line,
-			"more than 65536 values; make the document smaller");
+			"more than 262144 values; make the document smaller");
 	return true;
 }
 
--- a/test/unit/test_route.c
+++ b/test/unit/test_route.c
@@ -114,9 +114,33 @@
 	}
 }
 
+/* Operators of large sites have thousands of routes, many of them idle. */
+static void test_many_routes(void)
+{
+	GString *text = g_string_new(HEAD "routes:\n");
+	GError *error = NULL;
+
+	for (int i = 0; i < 6000; i++)
+		g_string_append_printf(
+			text,
+			"  r%d: {host: h%d.example, path_prefix: /p%d/, "
+			"idempotent: true, targets: [{service: web}]}\n",
+			i, i % 7, i);
+	dws_config_t *config = parse(text->str, &error);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(config);
+	CU_ASSERT_STRING_EQUAL(route_of(config, "h6.example", "/p5airs/x"), "");
+	CU_ASSERT_STRING_EQUAL(route_of(config, "h1.example", "/p5994/x"), "");
+	CU_ASSERT_STRING_EQUAL(route_of(config, "h2.example", "/p5994/x"),
+			       "r5994");
+	dws_config_unref(config);
+	g_string_free(text, TRUE);
+}
+
 int main(void)
 {
 	static const suite_test_t tests[] = {
+		{"many routes", test_many_routes},
 		{"lookup", test_host_and_longest_prefix_decide},
 		{"draws", test_draws_follow_the_weights},
 		{"faults", test_faults_name_key_and_remedy},
