Compress documents between daemons, and pull them from near by

Documents from 1 KB on are now compressed (zlib, its quickest level), and news that a member of another zone claims is pulled from there only if the own zone has not brought it 150 ms later. Ruled out: deltas of the list, as a list that is missed must be whole anyway.

--- a/src/connection/wire.pb-c.c
+++ b/src/connection/wire.pb-c.c
@@ -1673,7 +1673,7 @@
   (ProtobufCMessageInit) dws__pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor dws__document__field_descriptors[2] =
+static const ProtobufCFieldDescriptor dws__document__field_descriptors[3] =
 {
   {
     "item",
@@ -1699,15 +1699,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "plain_bytes",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dws__Document, plain_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dws__document__field_indices_by_name[] = {
   0,   /* field[0] = item */
+  2,   /* field[2] = plain_bytes */
   1,   /* field[1] = text */
 };
 static const ProtobufCIntRange dws__document__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor dws__document__descriptor =
 {
@@ -1717,7 +1730,7 @@
   "Dws__Document",
   "dws",
   sizeof(Dws__Document),
-  2,
+  3,
   dws__document__field_descriptors,
   dws__document__field_indices_by_name,
   1,  dws__document__number_ranges,
--- a/src/connection/wire.pb-c.h
+++ b/src/connection/wire.pb-c.h
@@ -251,10 +251,14 @@
   ProtobufCMessage base;
   uint32_t item;
   ProtobufCBinaryData text;
+  /*
+   * of a compressed text; 0: it is plain
+   */
+  uint32_t plain_bytes;
 };
 #define DWS__DOCUMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dws__document__descriptor) \
-    , 0, {0,NULL} }
+    , 0, {0,NULL}, 0 }
 
 
 typedef enum {
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -67,8 +67,8 @@
 	/* A member appeared, or its state, epoch or address changed. */
 	void (*changed)(void *context, const dws_member_t *member);
 	/* A peer claims these numbers; called for every datagram. */
-	void (*claimed)(void *context, const dws_address_t *frame,
-			const dws_claim_t *claim);
+	void (*claimed)(void *context, const char *vm_id,
+			const dws_address_t *frame, const dws_claim_t *claim);
 } dws_membership_ops_t;
 
 dws_membership_t *dws_membership_new(const dws_settings_t *settings,
--- a/src/process/membership_receive.c
+++ b/src/process/membership_receive.c
@@ -254,6 +254,7 @@
 	answer_probe(membership, &probe, sender);
 	if (probe.has_claim && sender)
 		membership->ops->claimed(membership->context,
+					 probe.sender.vm_id,
 					 &probe.sender.frame, &probe.claim);
 	return true;
 }
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -93,10 +93,10 @@
 	dws_request_member_changed(node, member);
 }
 
-static void claimed(void *context, const dws_address_t *frame,
-		    const dws_claim_t *claim)
+static void claimed(void *context, const char *vm_id,
+		    const dws_address_t *frame, const dws_claim_t *claim)
 {
-	dws_spread_on_claim(context, frame, claim);
+	dws_spread_on_claim(context, vm_id, frame, claim);
 }
 
 static const dws_membership_ops_t membership_ops = {
--- a/src/process/node_internal.h
+++ b/src/process/node_internal.h
@@ -35,6 +35,13 @@
 	dws_address_t frame;
 } dws_origin_t;
 
+/* News that a member of another zone has, to be asked for later. */
+typedef struct dws_far_pull {
+	int64_t due_us; /* 0: there is none */
+	dws_address_t frame;
+	uint64_t known; /* what was known when it was heard of */
+} dws_far_pull_t;
+
 /* What a request carries over the whole chain; see wire.proto. */
 typedef struct dws_context {
 	uint8_t trace_id[16];
@@ -210,6 +217,7 @@
 	bool platform_answered;
 	bool peer_answered;
 	int64_t pulled_us[DWS_PLATFORM_ITEM_COUNT];
+	dws_far_pull_t far_pulls[DWS_PLATFORM_ITEM_COUNT];
 	int64_t membership_due_us;
 };
 
--- a/src/version/spread.c
+++ b/src/version/spread.c
@@ -7,6 +7,7 @@
  * pull it from the process that claimed it.
  */
 #include "version/spread.h"
+#include "connection/compress.h"
 #include "connection/envelope.h"
 #include <string.h>
 
@@ -18,6 +19,15 @@
 #define READ_BACKOFF_MAX_US (5 * DWS_US_PER_S)
 /* A pull that has no answer after this may be sent to another peer. */
 #define PULL_PACE_US (200 * DWS_US_PER_MS)
+/*
+ * News that a member of another zone claims is pulled from there only after
+ * this, as the readers of the own zone mostly have it by then.
+ */
+#define FAR_PULL_DELAY_US (150 * DWS_US_PER_MS)
+/* Documents from this size on are compressed on their way. */
+#define COMPRESSED_MIN_BYTES 1024
+/* A log is a snapshot and the entries after it. */
+#define PLAIN_MAX_BYTES (2 * (size_t)DWS_CONFIG_MAX_BYTES)
 /* Claims this soon after a pause may have been sent before it. */
 #define STALE_CLAIM_US (100 * DWS_US_PER_MS)
 
@@ -37,9 +47,41 @@
 	       known_number(node, item) == 0;
 }
 
-/* Starts reads of the platform that are due. */
+/* Asks a peer for what it has after the own number. */
+static void pull(dws_node_t *node, const dws_address_t *from,
+		 dws_platform_item_t item)
+{
+	Dws__Envelope envelope = DWS__ENVELOPE__INIT;
+	Dws__Pull message = DWS__PULL__INIT;
+
+	if (node->now_us - node->pulled_us[item] < PULL_PACE_US)
+		return;
+	node->pulled_us[item] = node->now_us;
+	message.item = item;
+	message.after = known_number(node, item);
+	envelope.body_case = DWS__ENVELOPE__BODY_PULL;
+	envelope.pull = &message;
+	dws_envelope_send(node, from, 0, &envelope);
+}
+
+/* Asks members of other zones for what the own zone did not bring. */
+static void pull_far(dws_node_t *node)
+{
+	for (int i = 0; i < DWS_PLATFORM_ITEM_COUNT; i++) {
+		dws_far_pull_t *far = &node->far_pulls[i];
+
+		if (far->due_us == 0 || far->due_us > node->now_us)
+			continue;
+		far->due_us = 0;
+		if (known_number(node, (dws_platform_item_t)i) == far->known)
+			pull(node, &far->frame, (dws_platform_item_t)i);
+	}
+}
+
+/* Starts reads and pulls that are due. */
 void dws_spread_tick(dws_node_t *node)
 {
+	pull_far(node);
 	for (int i = 0; i < DWS_PLATFORM_ITEM_COUNT; i++) {
 		dws_platform_item_t item = (dws_platform_item_t)i;
 		uint64_t after = known_number(node, item);
@@ -63,6 +105,8 @@
 	for (int i = 0; i < DWS_PLATFORM_ITEM_COUNT; i++) {
 		if (wants_read(node, (dws_platform_item_t)i))
 			due_us = MIN(due_us, node->read_due_us[i]);
+		if (node->far_pulls[i].due_us != 0)
+			due_us = MIN(due_us, node->far_pulls[i].due_us);
 	}
 	return due_us;
 }
@@ -259,32 +303,57 @@
 	}
 }
 
-static void pull(dws_node_t *node, const dws_address_t *from,
-		 dws_platform_item_t item)
+/* True if another member of the own zone is likely to get news by itself. */
+static bool has_near_peers(const dws_node_t *node)
 {
-	Dws__Envelope envelope = DWS__ENVELOPE__INIT;
-	Dws__Pull message = DWS__PULL__INIT;
+	const dws_member_t *self = dws_membership_self(node->membership);
+	const GPtrArray *all = dws_membership_all(node->membership);
 
-	if (node->now_us - node->pulled_us[item] < PULL_PACE_US)
+	for (guint i = 0; i < all->len; i++) {
+		const dws_member_t *member = all->pdata[i];
+
+		if (member != self && member->state == DWS_MEMBER_ALIVE &&
+		    strcmp(member->zone, self->zone) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Pulls news from the member that claims it. Bytes between zones cost more than
+ * a short delay, so a member of another zone is asked later, if the news is
+ * still lacking then. A process that knows nothing asks whom it can.
+ */
+static void pull_from(dws_node_t *node, const dws_member_t *claimer,
+		      const dws_address_t *frame, dws_platform_item_t item)
+{
+	dws_far_pull_t *far = &node->far_pulls[item];
+	const dws_member_t *self = dws_membership_self(node->membership);
+	bool is_far = claimer && strcmp(claimer->zone, self->zone) != 0;
+
+	if (!is_far || known_number(node, item) == 0 || !has_near_peers(node)) {
+		pull(node, frame, item);
 		return;
-	node->pulled_us[item] = node->now_us;
-	message.item = item;
-	message.after = known_number(node, item);
-	envelope.body_case = DWS__ENVELOPE__BODY_PULL;
-	envelope.pull = &message;
-	dws_envelope_send(node, from, 0, &envelope);
+	}
+	if (far->due_us != 0)
+		return;
+	far->due_us = node->now_us + FAR_PULL_DELAY_US;
+	far->frame = *frame;
+	far->known = known_number(node, item);
 }
 
 /* Compares a peer's claim with what is known here; pulls what is newer. */
-void dws_spread_on_claim(dws_node_t *node, const dws_address_t *frame,
-			 const dws_claim_t *claim)
+void dws_spread_on_claim(dws_node_t *node, const char *vm_id,
+			 const dws_address_t *frame, const dws_claim_t *claim)
 {
 	uint64_t sequence = dws_fold_sequence(node->fold);
+	const dws_member_t *claimer =
+		dws_membership_find(node->membership, vm_id);
 
 	if (claim->config_sequence > sequence)
-		pull(node, frame, DWS_PLATFORM_CONFIG);
+		pull_from(node, claimer, frame, DWS_PLATFORM_CONFIG);
 	if (claim->vms_revision > known_number(node, DWS_PLATFORM_VMS))
-		pull(node, frame, DWS_PLATFORM_VMS);
+		pull_from(node, claimer, frame, DWS_PLATFORM_VMS);
 	if (claim->config_sequence == 0 || claim->config_sequence > sequence)
 		return;
 	node->peer_answered = true;
@@ -310,9 +379,10 @@
 {
 	Dws__Envelope envelope = DWS__ENVELOPE__INIT;
 	Dws__Document document = DWS__DOCUMENT__INIT;
-	size_t size_bytes = 0;
+	size_t size_bytes = 0, compressed_bytes = 0;
 	char *log = NULL;
 	const char *text = NULL;
+	uint8_t *compressed = NULL;
 
 	if (request->item == DWS_PLATFORM_CONFIG) {
 		log = dws_fold_log_after(node->fold, request->after,
@@ -324,15 +394,44 @@
 	}
 	if (!text)
 		return;
+	if (size_bytes >= COMPRESSED_MIN_BYTES)
+		compressed = dws_compress(text, size_bytes, &compressed_bytes);
 	document.item = request->item;
-	document.text.data = (uint8_t *)text;
-	document.text.len = size_bytes;
+	document.text.data = compressed ? compressed : (uint8_t *)text;
+	document.text.len = compressed ? compressed_bytes : size_bytes;
+	document.plain_bytes = compressed ? (uint32_t)size_bytes : 0;
 	envelope.body_case = DWS__ENVELOPE__BODY_DOCUMENT;
 	envelope.document = &document;
 	dws_envelope_send(node, &from->frame, from->epoch, &envelope);
+	g_free(compressed);
 	g_free(log);
 }
 
+/* Takes the text of a document, restored. */
+static bool take_document(dws_node_t *node, const dws_origin_t *from,
+			  const Dws__Document *document)
+{
+	dws_platform_item_t item = (dws_platform_item_t)document->item;
+	char *plain;
+	bool ok;
+
+	if (document->plain_bytes == 0)
+		return offer(node, item, (const char *)document->text.data,
+			     document->text.len, from->vm_id);
+	plain = dws_decompress(document->text.data, document->text.len,
+			       document->plain_bytes, PLAIN_MAX_BYTES);
+	if (!plain) {
+		dws_count(node, DWS_COUNT_BAD_MESSAGES);
+		dws_node_log(node, DWS_LOG_ERROR, "document_malformed",
+			     "from=%s item=%u bytes=%zu", from->vm_id,
+			     document->item, document->text.len);
+		return false;
+	}
+	ok = offer(node, item, plain, document->plain_bytes, from->vm_id);
+	g_free(plain);
+	return ok;
+}
+
 /* Takes a document that was pulled from a peer. */
 void dws_spread_on_document(dws_node_t *node, const dws_origin_t *from,
 			    const Dws__Document *document)
@@ -342,8 +441,7 @@
 	dws_platform_item_t item = (dws_platform_item_t)document->item;
 
 	node->pulled_us[item] = node->now_us - PULL_PACE_US;
-	if (offer(node, item, (const char *)document->text.data,
-		  document->text.len, from->vm_id) &&
+	if (take_document(node, from, document) &&
 	    item == DWS_PLATFORM_CONFIG) {
 		node->peer_answered = true;
 		end_catch_up(node);
--- a/test/support/membership_fleet.c
+++ b/test/support/membership_fleet.c
@@ -64,8 +64,8 @@
 }
 
 /* Passes news of a sequence on, as a process does once it has it. */
-static void peer_claimed(void *context, const dws_address_t *frame,
-			 const dws_claim_t *claim)
+static void peer_claimed(void *context, const char *vm_id,
+			 const dws_address_t *frame, const dws_claim_t *claim)
 {
 	fleet_node_t *node = context;
 
