Test what daemons give each other: compressed, and from near by

test_compress: whole again; cut, padded, damaged or too large is refused. test_node 'near news': a claim of another zone is pulled 150 ms later, and not if the own zone brought it; a compressed list is taken.

--- /dev/null
+++ b/test/unit/test_compress.c
@@ -0,0 +1,61 @@
+/*
+ * Documents come back whole, and what is malformed is refused.
+ */
+#include "connection/compress.h"
+#include "support/suite.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define PLAIN_MAX_BYTES 100000
+
+static void test_whole_again(void)
+{
+	GString *text = g_string_new(NULL);
+	size_t size_bytes = 0;
+
+	for (int i = 0; i < 500; i++)
+		g_string_append_printf(text, "{id: vm-%d, state: live}, ", i);
+	uint8_t *data = dws_compress(text->str, text->len, &size_bytes);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(data);
+	CU_ASSERT(size_bytes < text->len / 4);
+	char *plain =
+		dws_decompress(data, size_bytes, text->len, PLAIN_MAX_BYTES);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(plain);
+	CU_ASSERT_STRING_EQUAL(plain, text->str);
+	g_free(plain);
+	/* Cut, longer or shorter than told, larger than allowed, damaged. */
+	CU_ASSERT_PTR_NULL(dws_decompress(data, size_bytes - 1, text->len,
+					  PLAIN_MAX_BYTES));
+	CU_ASSERT_PTR_NULL(dws_decompress(data, size_bytes, text->len - 1,
+					  PLAIN_MAX_BYTES));
+	CU_ASSERT_PTR_NULL(dws_decompress(data, size_bytes, text->len + 1,
+					  PLAIN_MAX_BYTES));
+	CU_ASSERT_PTR_NULL(
+		dws_decompress(data, size_bytes, text->len, text->len - 1));
+	data[size_bytes / 2] ^= 0x55;
+	CU_ASSERT_PTR_NULL(
+		dws_decompress(data, size_bytes, text->len, PLAIN_MAX_BYTES));
+	g_free(data);
+	g_string_free(text, TRUE);
+}
+
+static void test_nothing_gained(void)
+{
+	size_t size_bytes = 0;
+
+	CU_ASSERT_PTR_NULL(dws_compress("abc", 3, &size_bytes));
+}
+
+int main(void)
+{
+	static const suite_test_t tests[] = {
+		{"whole again", test_whole_again},
+		{"nothing gained", test_nothing_gained},
+		{NULL, NULL},
+	};
+
+	return suite_main("compression", tests);
+}
--- a/test/unit/test_node.c
+++ b/test/unit/test_node.c
@@ -3,9 +3,10 @@
  */
 #include <string.h>
 
-#include "connection/wire.pb-c.h"
 #include "process/counters.h"
 #include "process/settings.h"
+#include "connection/compress.h"
+#include "connection/wire.pb-c.h"
 #include "support/suite.h"
 
 #define START_US (1000 * DWS_US_PER_S)
@@ -47,6 +48,7 @@
 	uint32_t replies; /* to peers */
 	uint32_t executes; /* sent to peers */
 	uint64_t execute_id; /* of the latest */
+	uint32_t pulls; /* sent to peers */
 } recorder_t;
 
 static void on_answer(dws_io_t *io, uint64_t call_id,
@@ -104,6 +106,8 @@
 		recorder->executes++;
 		recorder->execute_id = envelope->execute->attempt_id;
 	}
+	if (envelope->body_case == DWS__ENVELOPE__BODY_PULL)
+		recorder->pulls++;
 	dws__envelope__free_unpacked(envelope, NULL);
 }
 
@@ -576,6 +580,99 @@
 	finish(&recorder);
 }
 
+/* A member of a zone claims a list of VMs. */
+static void claim_list(recorder_t *recorder, char *vm_id, char *zone,
+		       uint64_t revision)
+{
+	uint8_t data[512];
+	Dws__Probe probe = DWS__PROBE__INIT;
+	Dws__MemberUpdate sender = DWS__MEMBER_UPDATE__INIT;
+	Dws__Claim claim = DWS__CLAIM__INIT;
+
+	sender.vm_id = vm_id;
+	sender.ip = "127.0.0.1";
+	sender.frame_port = 24;
+	sender.datagram_port = 25;
+	sender.zone = zone;
+	sender.region = "r";
+	sender.epoch = 99;
+	sender.incarnation = 1;
+	claim.vms_revision = revision;
+	probe.type = DWS__PROBE__TYPE__NOTICE;
+	probe.sender = &sender;
+	probe.claim = &claim;
+	size_t size_bytes = dws__probe__pack(&probe, data);
+
+	CU_ASSERT_TRUE(dws_node_datagram(recorder->node, recorder->now_us, data,
+					 size_bytes, NULL));
+}
+
+/* A peer gives a list of VMs, compressed. */
+static void give_list(recorder_t *recorder, const char *text)
+{
+	size_t size_bytes = 0;
+	uint8_t *text_data = dws_compress(text, strlen(text), &size_bytes);
+	Dws__Envelope envelope = DWS__ENVELOPE__INIT;
+	Dws__Document document = DWS__DOCUMENT__INIT;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(text_data);
+	document.item = DWS_PLATFORM_VMS;
+	document.text.data = text_data;
+	document.text.len = size_bytes;
+	document.plain_bytes = (uint32_t)strlen(text);
+	envelope.from_vm = "vm-2";
+	envelope.from_epoch = 88;
+	envelope.from_ip = "127.0.0.1";
+	envelope.from_port = 14;
+	envelope.to_epoch = 77;
+	envelope.body_case = DWS__ENVELOPE__BODY_DOCUMENT;
+	envelope.document = &document;
+	uint8_t *data = g_malloc(dws__envelope__get_packed_size(&envelope));
+
+	size_bytes = dws__envelope__pack(&envelope, data);
+	CU_ASSERT_TRUE(dws_node_frame(recorder->node, recorder->now_us, data,
+				      size_bytes, NULL));
+	g_free(data);
+	g_free(text_data);
+}
+
+/* News is pulled from the own zone at once, from others a little later. */
+static void test_news_is_pulled_from_near_by(void)
+{
+	GString *list = g_string_new("revision: 9\nvms: [");
+	recorder_t recorder;
+
+	start_routed(&recorder);
+	claim_list(&recorder, "vm-8", "elsewhere", 9);
+	CU_ASSERT_EQUAL(recorder.pulls, 0);
+	tick(&recorder, 140 * DWS_US_PER_MS);
+	CU_ASSERT_EQUAL(recorder.pulls, 0);
+	tick(&recorder, 20 * DWS_US_PER_MS);
+	CU_ASSERT_EQUAL(recorder.pulls, 1);
+	tick(&recorder, DWS_US_PER_S);
+	CU_ASSERT_EQUAL(recorder.pulls, 1);
+	/* What the own zone has brought meanwhile is not pulled any more. */
+	claim_list(&recorder, "vm-8", "elsewhere", 9);
+	for (int i = 0; i < 40; i++)
+		g_string_append_printf(
+			list,
+			"%s{id: vm-%d, ip: 127.0.0.1, frame_port: %d, "
+			"datagram_port: %d, zone: a, service: far, "
+			"state: live}",
+			i ? ", " : "", i + 2, i + 100, i + 200);
+	g_string_append(list, "]\n");
+	give_list(&recorder, list->str);
+	tick(&recorder, 200 * DWS_US_PER_MS);
+	CU_ASSERT_EQUAL(recorder.pulls, 1);
+	claim_list(&recorder, "vm-8", "elsewhere", 9);
+	tick(&recorder, 200 * DWS_US_PER_MS);
+	CU_ASSERT_EQUAL(recorder.pulls, 1);
+	claim_list(&recorder, "vm-9", "a", 10);
+	CU_ASSERT_EQUAL(recorder.pulls, 2);
+	finish(&recorder);
+	g_string_free(list, TRUE);
+}
+
 int main(void)
 {
 	static const suite_test_t tests[] = {
@@ -591,6 +688,7 @@
 		{"fence", test_refused_submit_is_fenced},
 		{"room", test_browsing_leaves_room_for_urgent_calls},
 		{"broken stream", test_broken_stream_gives_nothing_up},
+		{"near news", test_news_is_pulled_from_near_by},
 		{"paused", test_deadline_passes_while_paused},
 		{NULL, NULL},
 	};
