Avoid members that fall silent before their calls' time is over

Now a member is avoided while its outstanding calls together have waited eight mean times, and 150 ms, without an answer to any; and a call whose time ends with nothing heard since it was sent counts as a loss. Ruled out: quicker probes, which cost datagrams for all members all the time.

--- a/bench/routing.c
+++ b/bench/routing.c
@@ -40,7 +40,7 @@
 		    DWS_ROUTE_FOUND)
 			continue;
 		found++;
-		dws_routing_started(routing, member->vm_id);
+		dws_routing_started(routing, i, member->vm_id);
 		dws_routing_ended(routing, i, member->vm_id, &load);
 	}
 	return found;
--- a/src/process/node_internal.h
+++ b/src/process/node_internal.h
@@ -130,6 +130,7 @@
 	uint32_t refusals; /* in a row, for the backoff */
 	uint64_t attempt_id;
 	uint32_t attempt_tokens;
+	int64_t sent_us; /* of the latest attempt */
 	char target_vm[DWS_ID_SIZE];
 	uint64_t target_epoch;
 	dws_address_t target;
--- a/src/process/routing.c
+++ b/src/process/routing.c
@@ -39,6 +39,13 @@
 /* A judgement counts half after each such time. */
 #define JUDGEMENT_HALVES_US (2 * DWS_US_PER_S)
 #define JUDGEMENT_HALVINGS_MAX 30
+/*
+ * A member is silent once its outstanding calls together have waited for so
+ * many mean times, and for this long, without an answer to any of them: were it
+ * well, the chance would be e to the power of minus that.
+ */
+#define SILENT_MEANS 8.0
+#define SILENT_LEAST_US (150 * DWS_US_PER_MS)
 /* One in so many picks ignores that, to see whether they do better. */
 #define SOUND_TRIAL_PICKS 32
 #define MOST_LIMIT 1024
@@ -50,7 +57,8 @@
 	uint32_t started_since; /* calls sent since the load was heard */
 	bool has_load;
 	dws_load_t load;
-	int64_t load_us;
+	int64_t load_us; /* when it was heard, with an answer */
+	int64_t waiting_since_us; /* an answer, or a first call without one */
 	bool has_trial;
 	int64_t trial_us;
 	double bad_share; /* moving average of calls that went badly */
@@ -244,9 +252,22 @@
 	       is_on_trial(peer, now_us);
 }
 
-/* True while the member is avoided for answers that were lost. */
+/* True if answers of the member stay away that should have come by now. */
+static bool is_silent(const peer_t *peer, int64_t now_us)
+{
+	int64_t waited_us = now_us - peer->waiting_since_us;
+
+	return peer->outstanding > 0 && peer->has_load &&
+	       waited_us > SILENT_LEAST_US &&
+	       (double)peer->outstanding * (double)waited_us >
+		       SILENT_MEANS * (double)peer->load.service_us;
+}
+
+/* True while the member is avoided for answers that were lost or stay away. */
 static bool is_avoided(const peer_t *peer, int64_t now_us)
 {
+	if (is_silent(peer, now_us))
+		return true;
 	return peer->failures > 0 &&
 	       (now_us < peer->avoid_until_us || is_on_trial(peer, now_us));
 }
@@ -532,11 +553,13 @@
 }
 
 /* Counts a call that was sent to a member. */
-void dws_routing_started(dws_routing_t *routing, const char *vm_id)
+void dws_routing_started(dws_routing_t *routing, int64_t now_us,
+			 const char *vm_id)
 {
 	peer_t *peer = get_peer(routing, vm_id);
 
-	peer->outstanding++;
+	if (peer->outstanding++ == 0)
+		peer->waiting_since_us = now_us;
 	peer->started_since++;
 }
 
@@ -555,6 +578,16 @@
 	peer->avoid_until_us = now_us + MIN(wait_us, BACKOFF_MOST_US);
 }
 
+/* The time of a call is over; see the header. */
+void dws_routing_timed_out(dws_routing_t *routing, int64_t now_us,
+			   const char *vm_id, int64_t sent_us)
+{
+	peer_t *peer = g_hash_table_lookup(routing->peers, vm_id);
+
+	if (peer && !(peer->has_load && peer->load_us >= sent_us))
+		note_loss(peer, now_us);
+}
+
 /* Ends a call that was given up; it says nothing about the member. */
 void dws_routing_cancelled(dws_routing_t *routing, const char *vm_id)
 {
@@ -596,6 +629,7 @@
 	peer->has_load = true;
 	peer->load = *load;
 	peer->load_us = now_us;
+	peer->waiting_since_us = now_us;
 	peer->started_since = 0;
 }
 
--- a/src/process/routing.h
+++ b/src/process/routing.h
@@ -35,7 +35,8 @@
 dws_route_result_t dws_routing_pick(dws_routing_t *routing, int64_t now_us,
 				    const dws_routing_call_t *call,
 				    const dws_member_t **member);
-void dws_routing_started(dws_routing_t *routing, const char *vm_id);
+void dws_routing_started(dws_routing_t *routing, int64_t now_us,
+			 const char *vm_id);
 /*
  * Ends a call. A load of NULL means that nothing came back: the member is
  * avoided for a while, longer each time in a row.
@@ -49,6 +50,12 @@
  */
 void dws_routing_judged(dws_routing_t *routing, int64_t now_us,
 			const char *vm_id, bool bad);
+/*
+ * The time of a call that was sent at a time is over. If nothing at all was
+ * heard of the member since, it is avoided like one that lost an answer.
+ */
+void dws_routing_timed_out(dws_routing_t *routing, int64_t now_us,
+			   const char *vm_id, int64_t sent_us);
 /* Ends a call that was given up; it says nothing about the member. */
 void dws_routing_cancelled(dws_routing_t *routing, const char *vm_id);
 /* When a member that is busy now may be tried again; DWS_NEVER_US if none. */
--- a/src/request/fate.c
+++ b/src/request/fate.c
@@ -498,6 +498,8 @@
 		dws_request_refuse(node, request, DWS_REASON_DEADLINE);
 		return;
 	case DWS_REQUEST_SENT:
+		dws_routing_timed_out(node->routing, node->now_us,
+				      request->target_vm, request->sent_us);
 		if (!request->kind.idempotent) {
 			dws_request_deliver(node, request, &unknown);
 			return;
--- a/src/request/outgoing.c
+++ b/src/request/outgoing.c
@@ -180,7 +180,8 @@
 		  sizeof(request->target_vm));
 	request->target_epoch = member->epoch;
 	request->target = member->frame;
-	dws_routing_started(node->routing, member->vm_id);
+	request->sent_us = node->now_us;
+	dws_routing_started(node->routing, node->now_us, member->vm_id);
 	if (member->epoch == node->epoch)
 		send_to_self(node, request);
 	else
--- a/test/fuzz/fuzz_routing.c
+++ b/test/fuzz/fuzz_routing.c
@@ -126,7 +126,7 @@
 	g_assert(!clean_near || index < 3);
 	g_assert(!clean_anywhere || !world->models[index].clean ||
 		 world->models[index].outstanding < UNKNOWN_ROOM);
-	dws_routing_started(world->routing, member->vm_id);
+	dws_routing_started(world->routing, world->now_us, member->vm_id);
 	world->models[index].outstanding++;
 }
 
--- a/test/unit/test_routing.c
+++ b/test/unit/test_routing.c
@@ -91,13 +91,13 @@
 {
 	dws_load_t load = {threshold, running, 0, 10, 0};
 
-	dws_routing_started(bench->routing, vm_id);
+	dws_routing_started(bench->routing, now_us, vm_id);
 	dws_routing_ended(bench->routing, now_us, vm_id, &load);
 }
 
 static void lose(bench_t *bench, int64_t now_us, const char *vm_id)
 {
-	dws_routing_started(bench->routing, vm_id);
+	dws_routing_started(bench->routing, now_us, vm_id);
 	dws_routing_ended(bench->routing, now_us, vm_id, NULL);
 }
 
@@ -207,7 +207,7 @@
 		const char *vm_id = pick(&bench, 1, 1, NULL);
 
 		counts[vm_id[1] - '0']++;
-		dws_routing_started(bench.routing, vm_id);
+		dws_routing_started(bench.routing, 1, vm_id);
 	}
 	CU_ASSERT(counts[0] < counts[1] && counts[0] < counts[2]);
 	CU_ASSERT(counts[1] > 90 && counts[2] > 90);
@@ -222,7 +222,7 @@
 {
 	dws_load_t load = {0, running, 0, 10, service_us};
 
-	dws_routing_started(bench->routing, vm_id);
+	dws_routing_started(bench->routing, 0, vm_id);
 	dws_routing_ended(bench->routing, 0, vm_id, &load);
 }
 
@@ -241,7 +241,7 @@
 	/* Calls that were sent since the report count as running. */
 	report_time(&bench, "a1", 9, 1000);
 	CU_ASSERT_STRING_EQUAL(pick(&bench, 1, 1, NULL), "a1");
-	dws_routing_started(bench.routing, "a1");
+	dws_routing_started(bench.routing, 1, "a1");
 	report_time(&bench, "b1", 1, 1000);
 	CU_ASSERT_STRING_EQUAL(pick(&bench, 1, 1, NULL), "b1");
 	finish(&bench);
@@ -314,6 +314,30 @@
 	finish(&bench);
 }
 
+static void test_members_that_fall_silent_are_avoided(void)
+{
+	bench_t bench;
+
+	start(&bench, "a1 b1");
+	report_time(&bench, "a1", 1, 20 * MS);
+	report_time(&bench, "b1", 1, 20 * MS);
+	dws_routing_started(bench.routing, 0, "a1");
+	CU_ASSERT_STRING_EQUAL(pick(&bench, 100 * MS, 1, NULL), "a1");
+	/* Eight mean times without an answer. */
+	CU_ASSERT_STRING_EQUAL(pick(&bench, 161 * MS, 1, NULL), "b1");
+	/* An answer to any call ends it. */
+	dws_routing_started(bench.routing, 161 * MS, "a1");
+	dws_routing_ended(bench.routing, 170 * MS, "a1",
+			  &(dws_load_t){0, 1, 0, 10, 20 * MS});
+	CU_ASSERT_STRING_EQUAL(pick(&bench, 171 * MS, 1, NULL), "a1");
+	/* Calls whose time ends keep others away, if nothing came since. */
+	dws_routing_timed_out(bench.routing, 180 * MS, "a1", 165 * MS);
+	CU_ASSERT_STRING_EQUAL(pick(&bench, 181 * MS, 1, NULL), "a1");
+	dws_routing_timed_out(bench.routing, 190 * MS, "a1", 175 * MS);
+	CU_ASSERT_STRING_EQUAL(pick(&bench, 191 * MS, 1, NULL), "b1");
+	finish(&bench);
+}
+
 int main(void)
 {
 	static const suite_test_t tests[] = {
@@ -328,6 +352,7 @@
 		{"room", test_members_with_room_go_before_nearer_ones_without},
 		{"soundness", test_members_that_fail_calls_are_avoided},
 		{"time", test_the_quicker_of_two_is_taken},
+		{"silence", test_members_that_fall_silent_are_avoided},
 		{"objective", test_slow_zones_are_left_for_tight_objectives},
 		{NULL, NULL},
 	};
