Test a log whose reader has stopped

platform 'stopped log reader': 2400 requests are served while nobody reads the pipe, lines are dropped and counted, and memory stays below 64 MB.

--- a/test/failure/platform.c
+++ b/test/failure/platform.c
@@ -670,6 +670,55 @@
 	platform_stop(platform);
 }
 
+/* What a daemon's metrics say of a name; -1 if they don't name it. */
+static double metric_of(platform_vm_t *vm, const char *name)
+{
+	char *url = g_strdup_printf("http://%s:%u/metrics", vm->bind_ip,
+				    vm->platform->ports[PORT_ADMIN]);
+	char *line = g_strdup_printf("\n%s ", name);
+	http_exchange_t exchange;
+	const char *at;
+	double value = -1;
+
+	http_init(&exchange, "GET", url, NULL, 20000, NULL);
+	http_run(&exchange);
+	at = strstr(exchange.body->str, line);
+	if (at)
+		value = g_ascii_strtod(at + strlen(line), NULL);
+	http_finish(&exchange);
+	g_free(line);
+	g_free(url);
+	return value;
+}
+
+/* A reader of the log that has stopped costs lines, and nothing else. */
+static void test_stopped_reader_of_the_log(void)
+{
+	platform_t *platform = g_new0(platform_t, 1);
+	platform_vm_t *vm;
+	/* A buffer of 1 MB takes about 2,000 lines of served requests. */
+	const int requests = 2400;
+
+	platform_start(platform);
+	configure_first(platform, 3);
+	vm = platform_add_vm(platform, "web");
+	vm->stalls_log = true;
+	platform_start_daemon(vm);
+	CU_ASSERT_TRUE_FATAL(platform_await_ready(vm));
+	for (int i = 0; i < requests; i++) {
+		char id[32];
+
+		g_snprintf(id, sizeof(id), "stalled-%d", i);
+		CU_ASSERT_EQUAL(status_of(platform, 0, "GET", "/w/a", id), 200);
+	}
+	CU_ASSERT(metric_of(vm, "dogwoodshift_log_lines_dropped") > 0);
+	/* 64 MB are what a daemon may take. */
+	CU_ASSERT(metric_of(vm, "process_resident_memory_peak_bytes") <
+		  64.0 * 1024 * 1024);
+	platform_signal_daemon(vm, SIGTERM, true);
+	platform_stop(platform);
+}
+
 /* A daemon that is told of changed settings before it has read them. */
 static void test_hang_up_at_start(void)
 {
@@ -728,6 +777,7 @@
 		{"metrics", test_metrics_tell_of_requests},
 		{"reload", test_settings_are_read_again},
 		{"hang-up at start", test_hang_up_at_start},
+		{"stopped log reader", test_stopped_reader_of_the_log},
 		{NULL, NULL},
 	};
 
--- a/test/support/platform.c
+++ b/test/support/platform.c
@@ -558,13 +558,14 @@
 		"admin_listen: %s:%u\nadmin_any_address: true\n"
 		"frame_listen: %s:%u\ndatagram_listen: %s:%u\nbind_ip: %s\n"
 		"platform: %s:%u\nplatform_protocol: store\n"
-		"policy: fixed\nprobe_interval_ms: 100\nlog_file: %s\n%s",
+		"policy: fixed\nprobe_interval_ms: 100\n%s%s\n%s",
 		vm->ip, vm->zone, vm->service, vm->ip, ports[PORT_UPSTREAM],
 		vm->bind_ip, ports[PORT_ROUTED], vm->bind_ip, ports[PORT_READY],
 		vm->bind_ip, ports[PORT_ADMIN], vm->ip, ports[PORT_FRAMES],
 		vm->ip, ports[PORT_FRAMES], vm->bind_ip,
 		platform->has_relays ? vm->ip : PLATFORM_STORE_IP,
-		platform->store_port, vm->log, more);
+		platform->store_port, vm->stalls_log ? "" : "log_file: ",
+		vm->stalls_log ? "" : vm->log, more);
 
 	g_file_set_contents(vm->settings, text, -1, NULL);
 	g_free(text);
@@ -584,10 +585,13 @@
 		g_strdup_printf("%s/dogwoodshiftd", build ? build : "build");
 	char *arguments[] = {program, "--settings", vm->settings, NULL};
 	GError *error = NULL;
+	int out; /* stays open, and is never read */
 
 	platform_write_settings(vm, "");
-	if (!g_spawn_async(NULL, arguments, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
-			   die_with_parent, NULL, &vm->daemon, &error)) {
+	if (!g_spawn_async_with_pipes(
+		    NULL, arguments, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
+		    die_with_parent, NULL, &vm->daemon, NULL,
+		    vm->stalls_log ? &out : NULL, NULL, &error)) {
 		fprintf(stderr, "%s; build it first\n", error->message);
 		exit(1);
 	}
--- a/test/support/platform.h
+++ b/test/support/platform.h
@@ -48,6 +48,7 @@
 	GPid daemon; /* 0 if none runs */
 	char *settings;
 	char *log;
+	bool stalls_log; /* logs to a pipe that nobody reads */
 } platform_vm_t;
 
 /* One request as an upstream got it. */
