--- a/src/process/node_internal.h
+++ b/src/process/node_internal.h
@@ -121,7 +121,7 @@
 	uint32_t max_attempts; /* of a routed request: upstreams reached */
 	uint32_t reached; /* upstreams that may have got it */
 	uint32_t objective_ms;
-	uint64_t config_version; /* that it was admitted under */
+	uint64_t config_version; /* that decided on it */
 	int64_t load_age_us; /* of the load that decided; -1: none was known */
 	char *ticket;
 	uint64_t span_id;
--- a/src/request/routed.c
+++ b/src/request/routed.c
@@ -38,7 +38,6 @@
 	kind->timeout_ms = route->timeout_ms;
 	request->objective_ms = MIN(route->objective_ms, route->timeout_ms);
 	request->max_attempts = route->max_attempts;
-	request->config_version = dws_fold_version(node->fold);
 }
 
 /* Notes whether a request is a call of the local upstream. */
@@ -63,6 +62,7 @@
 		return DWS_REASON_BAD_REQUEST;
 	if (!config)
 		return DWS_REASON_STARTING;
+	request->config_version = dws_fold_version(node->fold);
 	if (call->timeout_us > 0 && call->timeout_us < LEAST_TIME_US)
 		return DWS_REASON_DEADLINE;
 	route = dws_config_route(config, call->host, call->path);
--- a/test/failure/platform.c
+++ b/test/failure/platform.c
@@ -623,7 +623,9 @@
 {
 	platform_t *platform = start_site();
 	question_t lost = {platform, "lost-1", "reason upstream-lost"};
-	question_t unknown = {platform, "route-1", "reason no-route"};
+	question_t unknown = {
+		platform, "route-1",
+		"reason no-route, status 404); decided under version 3"};
 	question_t refused = {
 		platform, "room-1",
 		"it did not run: no upstream of the service had room"};
