Confirm no old version by a read that follows a refused document

Cause: after a document that could not be taken, the next read of the store had no news and confirmed the version in force as the newest, so config_age_ms, the metric and the freshness that planned slowdowns ask for were better than the truth (seen at 10.4.0.37 in: version 8 'confirmed 232 ms before' 7 s after the first refusal). Test: test_node 'refused document' failed before.

--- a/src/process/node_internal.h
+++ b/src/process/node_internal.h
@@ -211,6 +211,7 @@
 	dws_routing_t *routing;
 	dws_fold_t *fold;
 	int64_t config_confirmed_us; /* newest version surely in force then */
+	bool config_refused; /* the platform's latest could not be taken */
 	bool reading[DWS_PLATFORM_ITEM_COUNT];
 	int64_t read_started_us[DWS_PLATFORM_ITEM_COUNT];
 	int64_t read_due_us[DWS_PLATFORM_ITEM_COUNT];
--- a/src/version/spread.c
+++ b/src/version/spread.c
@@ -283,8 +283,11 @@
 	int64_t *backoff_us = &node->read_backoff_us[item];
 
 	node->reading[item] = false;
-	if (ok && text)
+	if (ok && text) {
 		ok = offer(node, item, text, size_bytes, "platform");
+		if (item == DWS_PLATFORM_CONFIG)
+			node->config_refused = !ok;
+	}
 	if (!ok) {
 		dws_count(node, DWS_COUNT_PLATFORM_FAILURES);
 		*backoff_us = CLAMP(*backoff_us * 2, READ_BACKOFF_FIRST_US,
@@ -298,7 +301,9 @@
 	plan_next_read(node, item, text != NULL);
 	if (item == DWS_PLATFORM_CONFIG) {
 		node->platform_answered = true;
-		confirm_config(node, node->now_us);
+		/* What was refused is newer than what is in force. */
+		if (!node->config_refused)
+			confirm_config(node, node->now_us);
 		end_catch_up(node);
 	}
 }
--- a/test/unit/test_node.c
+++ b/test/unit/test_node.c
@@ -673,6 +673,51 @@
 	g_string_free(list, TRUE);
 }
 
+/* The age of the configuration's confirmation, as metrics tell it. */
+static double confirmed_age_s(recorder_t *recorder)
+{
+	static const char name[] =
+		"\ndogwoodshift_config_confirmed_age_seconds ";
+	char *gauges = dws_node_gauges(recorder->node, recorder->now_us);
+	const char *at = strstr(gauges, name);
+	double age_s = at ? g_ascii_strtod(at + strlen(name), NULL) : -1;
+
+	g_free(gauges);
+	return age_s;
+}
+
+/* Reads the platform's configuration: no news if there is no text. */
+static void read_config(recorder_t *recorder, const char *text)
+{
+	dws_node_platform_read(recorder->node, recorder->now_us,
+			       DWS_PLATFORM_CONFIG, true, text,
+			       text ? strlen(text) : 0);
+	tick(recorder, 5 * DWS_US_PER_S);
+}
+
+/* A document that can't be taken leaves the old version unconfirmed. */
+static void test_refused_document_confirms_nothing(void)
+{
+	recorder_t recorder;
+
+	start_routed(&recorder);
+	read_config(&recorder, NULL);
+	CU_ASSERT_DOUBLE_EQUAL(confirmed_age_s(&recorder), 5, 0.1);
+	read_config(&recorder, "snapshot: {sequence: 3, version: 3, "
+			       "document: {services: 7}}\n");
+	read_config(&recorder, NULL);
+	CU_ASSERT_DOUBLE_EQUAL(confirmed_age_s(&recorder), 15, 0.1);
+	/* The next one that fits confirms again. */
+	read_config(&recorder,
+		    "snapshot: {sequence: 4, version: 4, document: {services: "
+		    "{far: {}}, routes: {r: {host: h, path_prefix: /, "
+		    "idempotent: true, targets: [{service: far}]}}}}\n");
+	CU_ASSERT_DOUBLE_EQUAL(confirmed_age_s(&recorder), 5, 0.1);
+	read_config(&recorder, NULL);
+	CU_ASSERT_DOUBLE_EQUAL(confirmed_age_s(&recorder), 5, 0.1);
+	finish(&recorder);
+}
+
 int main(void)
 {
 	static const suite_test_t tests[] = {
@@ -689,6 +734,7 @@
 		{"room", test_browsing_leaves_room_for_urgent_calls},
 		{"broken stream", test_broken_stream_gives_nothing_up},
 		{"near news", test_news_is_pulled_from_near_by},
+		{"refused document", test_refused_document_confirms_nothing},
 		{"paused", test_deadline_passes_while_paused},
 		{NULL, NULL},
 	};
