--- a/test/soak/schedule.c
+++ b/test/soak/schedule.c
@@ -320,6 +320,7 @@
 	fault->lift = lift_hurry;
 }
 
+/* A kind that stands here twice comes twice as often. */
 static const begin_t kinds[] = {
 	begin_delay,	begin_cut,	begin_cut,	 begin_silence,
 	begin_silence,	begin_reset,	begin_reset,	 begin_loss,
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -2,7 +2,7 @@
  * A randomized soak of real daemons. Each seed starts a fleet, lets callers
  * work at it while faults of all kinds come and go, and checks the promises
  * from what callers and upstreams saw. Without options it runs the seeds that
- * once failed and a few fixed ones; a failed seed keeps its logs.
+ * once failed; a seed that fails keeps its logs.
  */
 #include "soak/fleet.h"
 
