Bound the answers of an upstream in memory, and drop mismatched connections

Cause: an answer's body was limited by max_body_bytes alone, which is more than some VMs have, and several at a time added up; interim answers and trailers had no limit. After an answer of another request the connection was kept, so that each later request on it lost its own answer too. Change: the bodies being received share a quarter of memory_mb, and each may be as large as what is left; heads are limited to 128 KiB a transfer; a mismatched answer closes its connection. The answer of a transfer moves to a file of its own.

--- /dev/null
+++ b/src/connection/http_answer_io.c
@@ -0,0 +1,203 @@
+/*
+ * Answers of HTTP transfers.
+ */
+#include <string.h>
+#include "connection/http_answer_io.h"
+
+/*
+ * Bound on the header lines of one transfer, with those of interim answers and
+ * trailers, which may come in any number.
+ */
+#define HEAD_MAX_BYTES ((size_t)128 * 1024)
+#define STATUS_FIRST_FINAL 200
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
+#define STATUS_TIMEOUT 408
+#define STATUS_MISDIRECTED 421
+#define STATUS_TOO_MANY 429
+#define STATUS_UNAVAILABLE 503
+
+void dws_http_answer_init(dws_http_answer_t *answer, size_t body_max_bytes,
+			  dws_answer_quota_t *quota,
+			  const dws_http_names_t *http_names,
+			  const char *attempt_key)
+{
+	memset(answer, 0, sizeof(*answer));
+	answer->http_names = http_names;
+	answer->quota = quota;
+	answer->body_max_bytes = body_max_bytes;
+	answer->attempt_key = g_strdup(attempt_key ? attempt_key : "");
+	answer->body = g_byte_array_new();
+	if (http_names)
+		answer->headers = g_string_new(NULL);
+}
+
+void dws_http_answer_finish(dws_http_answer_t *answer)
+{
+	if (answer->quota)
+		answer->quota->used_bytes -= answer->body->len;
+	g_byte_array_free(answer->body, TRUE);
+	g_free(answer->attempt_key);
+	if (answer->headers)
+		g_string_free(answer->headers, TRUE);
+}
+
+/*
+ * True if the body may grow by some bytes. A body may be as large as what is
+ * left of the quota, so that one without end leaves room for all others.
+ */
+static bool has_room(const dws_http_answer_t *answer, size_t size_bytes)
+{
+	const dws_answer_quota_t *quota = answer->quota;
+	size_t grown_bytes = answer->body->len + size_bytes;
+
+	if (grown_bytes > answer->body_max_bytes)
+		return false;
+	return !quota ||
+	       quota->used_bytes + size_bytes + grown_bytes <= quota->max_bytes;
+}
+
+/* CURLOPT_WRITEFUNCTION: collects the body; aborts if it is too large. */
+static size_t on_body(char *data, size_t size, size_t count, void *user)
+{
+	dws_http_answer_t *answer = user;
+	size_t size_bytes = size * count;
+
+	if (!has_room(answer, size_bytes)) {
+		answer->is_too_large = true;
+		return 0;
+	}
+	g_byte_array_append(answer->body, (const guint8 *)data,
+			    (guint)size_bytes);
+	if (answer->quota)
+		answer->quota->used_bytes += size_bytes;
+	return size_bytes;
+}
+
+/* True if a header line has this name. */
+static bool has_name(const char *line, size_t size_bytes, const char *name)
+{
+	size_t length = strlen(name);
+
+	return size_bytes > length && line[length] == ':' &&
+	       g_ascii_strncasecmp(line, name, length) == 0;
+}
+
+/* True if a header line has this name and this value. */
+static bool is_header(const char *line, size_t size_bytes, const char *name,
+		      const char *value)
+{
+	size_t length = strlen(name);
+
+	if (!has_name(line, size_bytes, name))
+		return false;
+	char *found = g_strndup(line + length + 1, size_bytes - length - 1);
+	bool same = g_ascii_strcasecmp(g_strstrip(found), value) == 0;
+
+	g_free(found);
+	return same;
+}
+
+/* True if a header line says that the answer is that of another request. */
+static bool is_mismatch(const dws_http_answer_t *answer, const char *line,
+			size_t size_bytes)
+{
+	const char *name = answer->http_names->attempt_key_header;
+
+	return answer->attempt_key[0] && has_name(line, size_bytes, name) &&
+	       !is_header(line, size_bytes, name, answer->attempt_key);
+}
+
+/* Evaluates a header of a routed answer and keeps it to be forwarded. */
+static void collect_routed_header(dws_http_answer_t *answer, const char *line,
+				  size_t size_bytes)
+{
+	const dws_http_names_t *http_names = answer->http_names;
+	const char *colon = memchr(line, ':', size_bytes);
+	size_t length = colon ? (size_t)(colon - line) : 0;
+
+	if (length == 0)
+		return;
+	if (has_name(line, size_bytes, http_names->not_run_header))
+		answer->has_not_run_header = true;
+	if (!dws_http_names_is_per_hop(http_names, line, length))
+		g_string_append_len(answer->headers, line, (gssize)size_bytes);
+}
+
+/* Discards the headers of the preceding interim answer. */
+static void start_head(dws_http_answer_t *answer)
+{
+	answer->is_chunked = false;
+	answer->has_not_run_header = false;
+	if (answer->headers)
+		g_string_set_size(answer->headers, 0);
+}
+
+/*
+ * CURLOPT_HEADERFUNCTION: evaluates a header. Aborts if the answer is that of
+ * another request: its own may still follow on the connection, which therefore
+ * must not be used again.
+ */
+static size_t on_header(char *data, size_t size, size_t count, void *user)
+{
+	dws_http_answer_t *answer = user;
+	size_t size_bytes = size * count;
+
+	answer->head_bytes += size_bytes;
+	if (answer->head_bytes > HEAD_MAX_BYTES) {
+		answer->is_too_large = true;
+		return 0;
+	}
+	if (size_bytes >= 5 && memcmp(data, "HTTP/", 5) == 0) {
+		start_head(answer);
+		return size_bytes;
+	}
+	if (answer->http_names) {
+		if (is_mismatch(answer, data, size_bytes))
+			return 0;
+		collect_routed_header(answer, data, size_bytes);
+	}
+	if (is_header(data, size_bytes, "Transfer-Encoding", "chunked"))
+		answer->is_chunked = true;
+	if (is_header(data, size_bytes, "Dogwoodshift-Outcome", "not-run"))
+		answer->has_not_run_header = true;
+	return size_bytes;
+}
+
+void dws_http_answer_attach(dws_http_answer_t *answer, CURL *easy)
+{
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, answer);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, answer);
+}
+
+bool dws_http_answer_is_delimited(const dws_http_answer_t *answer, CURL *easy,
+				  long status)
+{
+	curl_off_t length = -1;
+
+	if (answer->is_head_request || answer->is_chunked ||
+	    status == STATUS_NO_CONTENT || status == STATUS_NOT_MODIFIED)
+		return true;
+	curl_easy_getinfo(easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+	return length >= 0;
+}
+
+bool dws_http_answer_is_usable(const dws_http_answer_t *answer, CURL *easy,
+			       long status, uint32_t send_count)
+{
+	bool means_not_run = status == STATUS_TIMEOUT ||
+			     status == STATUS_TOO_MANY ||
+			     status == STATUS_UNAVAILABLE;
+
+	if (status < STATUS_FIRST_FINAL)
+		return false;
+	/* This may answer a resent copy, while the first copy has run. */
+	if (send_count > 1 &&
+	    (answer->has_not_run_header || status == STATUS_MISDIRECTED))
+		return false;
+	if (!answer->http_names)
+		return dws_http_answer_is_delimited(answer, easy, status);
+	return !means_not_run || answer->has_not_run_header;
+}
--- /dev/null
+++ b/src/connection/http_answer_io.h
@@ -0,0 +1,63 @@
+/*
+ * The answer of an HTTP transfer of libcurl: collects its headers and body
+ * within limits, and decides whether it can be passed on.
+ *
+ * A faulty upstream may send bytes without end. The head of an answer is
+ * therefore limited, and the bodies being received share a quota.
+ */
+#ifndef DWS_CONNECTION_HTTP_ANSWER_IO_H
+#define DWS_CONNECTION_HTTP_ANSWER_IO_H
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include "connection/http_names.h"
+
+/* Memory that the bodies of the answers being received share. */
+typedef struct dws_answer_quota {
+	size_t max_bytes;
+	size_t used_bytes;
+} dws_answer_quota_t;
+
+typedef struct dws_http_answer {
+	/* Set for an answer to a routed request, else NULL. */
+	const dws_http_names_t *http_names;
+	dws_answer_quota_t *quota; /* NULL: limited by body_max_bytes only */
+	size_t body_max_bytes;
+	char *attempt_key; /* that a routed answer must not contradict, or "" */
+	GByteArray *body;
+	GString *headers; /* of a routed answer, to be forwarded; else NULL */
+	size_t head_bytes; /* of all heads and trailers received so far */
+	bool is_head_request; /* the answer has no body */
+	bool is_chunked;
+	bool has_not_run_header;
+	bool is_too_large; /* the transfer was aborted for its size */
+} dws_http_answer_t;
+
+/* Initializes an answer; names and key only for a routed request, else NULL. */
+void dws_http_answer_init(dws_http_answer_t *answer, size_t body_max_bytes,
+			  dws_answer_quota_t *quota,
+			  const dws_http_names_t *http_names,
+			  const char *attempt_key);
+/* Frees the answer and returns its memory to the quota. */
+void dws_http_answer_finish(dws_http_answer_t *answer);
+/* Has a transfer deliver its headers and its body to the answer. */
+void dws_http_answer_attach(dws_http_answer_t *answer, CURL *easy);
+/*
+ * True if the body of a completed answer was delimited by Content-Length or by
+ * chunked encoding, so that truncation is detected.
+ */
+bool dws_http_answer_is_delimited(const dws_http_answer_t *answer, CURL *easy,
+				  long status);
+/*
+ * True if a completed answer is usable for its request, which was sent
+ * send_count times. A routed answer may be delimited by the end of its
+ * connection. To the caller of a routed request, 408, 429 and 503 mean that the
+ * request did not run; such an answer is forwarded only if the upstream
+ * confirms this by its not-run header.
+ */
+bool dws_http_answer_is_usable(const dws_http_answer_t *answer, CURL *easy,
+			       long status, uint32_t send_count);
+
+#endif
--- a/src/connection/http_client_io.c
+++ b/src/connection/http_client_io.c
@@ -28,17 +28,17 @@
 #define PLATFORM_TIMEOUT_MARGIN_MS 2000
 /* Fits a page of values of 1 MB in base64, or a document, with its framing. */
 #define PLATFORM_ANSWER_MAX_BYTES (4 * 1024 * 1024)
+#define BYTES_PER_MB ((size_t)1024 * 1024)
+/* Share of the process's memory for the bodies of answers being received. */
+#define ANSWER_MEMORY_DIVISOR 4
+#define ANSWER_QUOTA_DEFAULT_BYTES (256 * BYTES_PER_MB)
 #define IDLE_HANDLES_MAX 128U
 #define IDLE_CONNECTIONS_MAX 128L
 #define URL_SIZE 128
-#define STATUS_FIRST_FINAL 200
 #define STATUS_NO_CONTENT 204
-#define STATUS_NOT_MODIFIED 304
 #define STATUS_UNAVAILABLE 503
 #define STATUS_OK 200
-#define STATUS_TIMEOUT 408
 #define STATUS_MISDIRECTED 421
-#define STATUS_TOO_MANY 429
 
 static const char *const platform_paths[DWS_PLATFORM_ITEM_COUNT] = {
 	[DWS_PLATFORM_CONFIG] = "/v1/config",
@@ -50,19 +50,11 @@
 	dws_http_client_t *client;
 	CURL *easy;
 	struct curl_slist *headers;
-	GByteArray *body;
-	size_t body_max_bytes;
+	dws_http_answer_t answer;
 	dws_http_get_done_t done; /* of a GET of the platform, else NULL */
 	void *done_context;
 	uint32_t tag;
 	uint64_t attempt_id;
-	bool is_routed;
-	char *attempt_key; /* required in a routed answer, unless "" */
-	GString *answer_headers; /* of routed requests, to be forwarded */
-	bool is_head_request;
-	bool is_chunked;
-	bool has_not_run_header;
-	bool is_mismatched; /* the answer belongs to another request */
 	uint32_t send_count; /* times that libcurl began to send the request */
 	int64_t first_sent_us; /* start of the first send */
 } transfer_t;
@@ -151,86 +143,6 @@
 	return 0;
 }
 
-/* CURLOPT_WRITEFUNCTION: collects the body; aborts if it is too large. */
-static size_t on_body(char *data, size_t size, size_t count, void *user)
-{
-	transfer_t *transfer = user;
-	size_t size_bytes = size * count;
-
-	if (transfer->body->len + size_bytes > transfer->body_max_bytes)
-		return 0;
-	g_byte_array_append(transfer->body, (const guint8 *)data,
-			    (guint)size_bytes);
-	return size_bytes;
-}
-
-/* True if a header line has this name and this value. */
-static bool is_header(const char *line, size_t size_bytes, const char *name,
-		      const char *value)
-{
-	size_t length = strlen(name);
-
-	if (size_bytes <= length || line[length] != ':' ||
-	    g_ascii_strncasecmp(line, name, length) != 0)
-		return false;
-	char *found = g_strndup(line + length + 1, size_bytes - length - 1);
-	bool same = g_ascii_strcasecmp(g_strstrip(found), value) == 0;
-
-	g_free(found);
-	return same;
-}
-
-/* Evaluates a header of a routed answer and keeps it to be forwarded. */
-static void collect_routed_header(transfer_t *transfer, const char *line,
-				  size_t size_bytes)
-{
-	const dws_http_names_t *http_names = transfer->client->http_names;
-	const char *colon = memchr(line, ':', size_bytes);
-	size_t length = colon ? (size_t)(colon - line) : 0;
-
-	if (length == 0)
-		return;
-	if (length == strlen(http_names->not_run_header) &&
-	    g_ascii_strncasecmp(line, http_names->not_run_header, length) == 0)
-		transfer->has_not_run_header = true;
-	if (transfer->attempt_key[0] &&
-	    length == strlen(http_names->attempt_key_header) &&
-	    g_ascii_strncasecmp(line, http_names->attempt_key_header, length) ==
-		    0 &&
-	    !is_header(line, size_bytes, http_names->attempt_key_header,
-		       transfer->attempt_key))
-		transfer->is_mismatched = true;
-	if (!dws_http_names_is_per_hop(http_names, line, length))
-		g_string_append_len(transfer->answer_headers, line,
-				    (gssize)size_bytes);
-}
-
-/*
- * CURLOPT_HEADERFUNCTION: evaluates a header. A status line discards the
- * headers of the preceding interim answer.
- */
-static size_t on_header(char *data, size_t size, size_t count, void *user)
-{
-	transfer_t *transfer = user;
-	size_t size_bytes = size * count;
-
-	if (size_bytes >= 5 && memcmp(data, "HTTP/", 5) == 0) {
-		transfer->is_chunked = false;
-		transfer->has_not_run_header = false;
-		transfer->is_mismatched = false;
-		if (transfer->answer_headers)
-			g_string_set_size(transfer->answer_headers, 0);
-		return size_bytes;
-	}
-	if (transfer->is_routed)
-		collect_routed_header(transfer, data, size_bytes);
-	if (is_header(data, size_bytes, "Transfer-Encoding", "chunked"))
-		transfer->is_chunked = true;
-	if (is_header(data, size_bytes, "Dogwoodshift-Outcome", "not-run"))
-		transfer->has_not_run_header = true;
-	return size_bytes;
-}
-
 /*
  * CURLOPT_PREREQFUNCTION: called before a request is sent or resent on a
  * connection. Aborts a resend after RESEND_WINDOW_US.
@@ -272,7 +184,6 @@
 
 	transfer->client = client;
 	transfer->easy = acquire_handle(client);
-	transfer->body = g_byte_array_new();
 	g_ptr_array_add(client->transfers, transfer);
 	return transfer;
 }
@@ -287,10 +198,7 @@
 	curl_multi_remove_handle(client->multi, transfer->easy);
 	release_handle(client, transfer->easy);
 	curl_slist_free_all(transfer->headers);
-	g_byte_array_free(transfer->body, TRUE);
-	g_free(transfer->attempt_key);
-	if (transfer->answer_headers)
-		g_string_free(transfer->answer_headers, TRUE);
+	dws_http_answer_finish(&transfer->answer);
 	g_free(transfer);
 }
 
@@ -333,10 +241,7 @@
 	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
-	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
-	curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
+	dws_http_answer_attach(&transfer->answer, easy);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_send);
 	curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
@@ -352,7 +257,9 @@
 			strcmp(dispatch->method, "PUT") == 0 ||
 			strcmp(dispatch->method, "PATCH") == 0;
 
-	transfer->is_head_request = strcmp(dispatch->method, "HEAD") == 0;
+	bool is_head_request = strcmp(dispatch->method, "HEAD") == 0;
+
+	transfer->answer.is_head_request = is_head_request;
 	if (has_body) {
 		curl_easy_setopt(easy, CURLOPT_POST, 1L);
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
@@ -362,7 +269,7 @@
 					 ? (const char *)dispatch->body
 					 : "");
 	}
-	if (transfer->is_head_request)
+	if (is_head_request)
 		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
 	else
 		curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, dispatch->method);
@@ -485,20 +392,19 @@
 		return;
 	}
 	transfer_t *transfer = new_transfer(client);
+	bool is_routed = dispatch->is_routed && client->http_names;
 
 	transfer->attempt_id = dispatch->attempt_id;
-	transfer->body_max_bytes = client->answer_max_bytes;
+	dws_http_answer_init(&transfer->answer, client->answer_max_bytes,
+			     &client->answer_quota,
+			     is_routed ? client->http_names : NULL,
+			     dispatch->attempt_key);
 	g_hash_table_insert(client->dispatches, &transfer->attempt_id,
 			    transfer);
-	if (dispatch->is_routed && client->http_names) {
-		transfer->is_routed = true;
-		transfer->attempt_key = g_strdup(
-			dispatch->attempt_key ? dispatch->attempt_key : "");
-		transfer->answer_headers = g_string_new(NULL);
+	if (is_routed)
 		set_routed_headers(transfer, dispatch, remaining_ms);
-	} else {
+	else
 		set_call_headers(transfer, dispatch, remaining_ms);
-	}
 	set_transfer_options(transfer, &client->upstream, dispatch->path,
 			     dispatch->idempotent
 				     ? remaining_ms
@@ -545,7 +451,8 @@
 	transfer->done = done;
 	transfer->done_context = context;
 	transfer->tag = tag;
-	transfer->body_max_bytes = PLATFORM_ANSWER_MAX_BYTES;
+	dws_http_answer_init(&transfer->answer, PLATFORM_ANSWER_MAX_BYTES, NULL,
+			     NULL, NULL);
 	set_transfer_options(transfer, &client->platform, target, timeout_ms);
 	curl_multi_add_handle(client->multi, transfer->easy);
 }
@@ -578,22 +485,6 @@
 				     on_platform_item, client, item);
 }
 
-/*
- * True if the body of an answer is delimited by Content-Length or by chunked
- * encoding, so that truncation is detected.
- */
-static bool is_delimited(const transfer_t *transfer, long status)
-{
-	curl_off_t length = -1;
-
-	if (transfer->is_head_request || transfer->is_chunked ||
-	    status == STATUS_NO_CONTENT || status == STATUS_NOT_MODIFIED)
-		return true;
-	curl_easy_getinfo(transfer->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T,
-			  &length);
-	return length >= 0;
-}
-
 /*
  * True if a failed transfer certainly sent nothing: the connection could not
  * be established, or the timeout expired before the first byte of the request.
@@ -609,32 +500,11 @@
 	return code == CURLE_OPERATION_TIMEDOUT && request_bytes == 0;
 }
 
-/*
- * True if a transfer brought a complete and usable answer to its request. A
- * routed answer may be delimited by the end of its connection. To the caller of
- * a routed request, 408, 429 and 503 mean that the request did not run; such an
- * answer is forwarded only if the upstream confirms this by its not-run header.
- */
-static bool is_usable_answer(const transfer_t *transfer, long status)
-{
-	bool means_not_run = status == STATUS_TIMEOUT ||
-			     status == STATUS_TOO_MANY ||
-			     status == STATUS_UNAVAILABLE;
-
-	if (status < STATUS_FIRST_FINAL || transfer->is_mismatched)
-		return false;
-	/* This may answer a resent copy, while the first copy has run. */
-	if (transfer->send_count > 1 &&
-	    (transfer->has_not_run_header || status == STATUS_MISDIRECTED))
-		return false;
-	if (!transfer->is_routed)
-		return is_delimited(transfer, status);
-	return !means_not_run || transfer->has_not_run_header;
-}
-
 static void report_dispatch(const transfer_t *transfer, CURLcode code)
 {
 	dws_http_client_t *client = transfer->client;
+	const dws_http_answer_t *answer = &transfer->answer;
+	bool is_routed = answer->http_names != NULL;
 	dws_dispatch_outcome_t outcome = {.result = DWS_DISPATCH_LOST};
 	long status = 0;
 
@@ -642,38 +512,40 @@
 	if (code != CURLE_OK) {
 		if (is_unsent(transfer, code))
 			outcome.result = DWS_DISPATCH_NOT_SENT;
-	} else if (is_usable_answer(transfer, status)) {
+	} else if (dws_http_answer_is_usable(answer, transfer->easy, status,
+					     transfer->send_count)) {
 		char *type = NULL;
 
 		curl_easy_getinfo(transfer->easy, CURLINFO_CONTENT_TYPE, &type);
 		outcome.result = DWS_DISPATCH_ANSWERED;
 		outcome.status = (uint16_t)status;
 		outcome.content_type = type;
-		if (transfer->answer_headers)
-			outcome.headers = transfer->answer_headers->str;
-		outcome.body = transfer->body->data;
-		outcome.body_size_bytes = transfer->body->len;
-		outcome.not_run =
-			transfer->has_not_run_header &&
-			(transfer->is_routed || status == STATUS_UNAVAILABLE);
-		outcome.misdirected =
-			transfer->is_routed && status == STATUS_MISDIRECTED;
+		if (answer->headers)
+			outcome.headers = answer->headers->str;
+		outcome.body = answer->body->data;
+		outcome.body_size_bytes = answer->body->len;
+		outcome.not_run = answer->has_not_run_header &&
+				  (is_routed || status == STATUS_UNAVAILABLE);
+		outcome.misdirected = is_routed && status == STATUS_MISDIRECTED;
 	}
 	client->ops->dispatch_finished(client->context, transfer->attempt_id,
 				       &outcome);
 }
 
-static void report_get(const transfer_t *transfer, CURLcode code)
+static void report_get(transfer_t *transfer, CURLcode code)
 {
+	dws_http_answer_t *answer = &transfer->answer;
 	long status = 0;
 
 	curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (code != CURLE_OK || !is_delimited(transfer, status))
+	if (answer->is_too_large)
+		status = DWS_HTTP_ANSWER_TOO_LARGE;
+	else if (code != CURLE_OK ||
+		 !dws_http_answer_is_delimited(answer, transfer->easy, status))
 		status = 0;
-	g_byte_array_append(transfer->body, (const guint8 *)"", 1);
+	g_byte_array_append(answer->body, (const guint8 *)"", 1);
 	transfer->done(transfer->done_context, transfer->tag, status,
-		       (const char *)transfer->body->data,
-		       transfer->body->len - 1);
+		       (const char *)answer->body->data, answer->body->len - 1);
 }
 
 /*
@@ -719,6 +591,15 @@
 	client->unsent_timer.data = client;
 }
 
+/* The memory that the bodies of the answers being received share. */
+static size_t answer_quota_bytes(const dws_settings_t *settings)
+{
+	size_t memory_bytes = settings->memory_mb * BYTES_PER_MB;
+
+	return memory_bytes > 0 ? memory_bytes / ANSWER_MEMORY_DIVISOR
+				: ANSWER_QUOTA_DEFAULT_BYTES;
+}
+
 /* Initializes a client; addresses and size limits come from the settings. */
 bool dws_http_client_init(dws_http_client_t *client,
 			  const dws_http_client_ops_t *ops, void *context,
@@ -733,6 +614,7 @@
 	client->platform = settings->platform;
 	client->http_names = http_names;
 	client->answer_max_bytes = settings->max_body_bytes;
+	client->answer_quota.max_bytes = answer_quota_bytes(settings);
 	if (curl_global_init(CURL_GLOBAL_DEFAULT) != CURLE_OK ||
 	    !(client->multi = curl_multi_init())) {
 		g_set_error(error, DWS_ERROR, DWS_ERROR_SYSTEM,
--- a/src/connection/http_client_io.h
+++ b/src/connection/http_client_io.h
@@ -6,7 +6,7 @@
 
 #include <curl/curl.h>
 #include <ev.h>
-#include "connection/http_names.h"
+#include "connection/http_answer_io.h"
 #include "process/settings.h"
 
 /* Callbacks of the owner, never invoked from within a function of this API. */
@@ -23,6 +23,9 @@
 				       size_t size_bytes);
 } dws_http_client_ops_t;
 
+/* Status of a GET whose answer was larger than the client accepts. */
+#define DWS_HTTP_ANSWER_TOO_LARGE (-1)
+
 /*
  * Completes a GET of the platform. A status of 0 means that no complete answer
  * was received. The text is NUL-terminated and valid during the call only.
@@ -39,6 +42,7 @@
 	/* Used for routed requests; NULL if none are to be sent. */
 	const dws_http_names_t *http_names;
 	size_t answer_max_bytes; /* body of an upstream's answer, at most */
+	dws_answer_quota_t answer_quota; /* of the bodies of all answers */
 	CURLM *multi;
 	ev_timer timer; /* next timeout of libcurl */
 	ev_timer unsent_timer; /* reports the unsent dispatches */
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -22,6 +22,7 @@
 static const dws_number_key_t number_keys[] = {
 	{"max_body_bytes", offsetof(dws_settings_t, max_body_bytes), 1024,
 	 64 * MEGABYTE, 256 * 1024},
+	{"memory_mb", offsetof(dws_settings_t, memory_mb), 0, 1024 * 1024, 0},
 	{"max_connections", offsetof(dws_settings_t, max_connections), 1, 65536,
 	 1024},
 	{"max_calls", offsetof(dws_settings_t, max_calls), 1, 1000000, 4096},
@@ -90,7 +91,7 @@
 	"routed_listen",   "ready_listen",
 	"retry_ratio",	   "retry_slack",
 	"retry_window",	   "platform_protocol",
-	"bind_ip",
+	"bind_ip",	   "memory_mb",
 };
 
 static const char *const level_names[] = {
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -47,6 +47,7 @@
 	dws_log_level_t log_level;
 	char log_file[256]; /* "": standard output */
 	uint32_t max_body_bytes;
+	uint32_t memory_mb; /* that the process may use; 0: not limited */
 	uint32_t max_connections; /* of callers */
 	uint32_t max_calls; /* limit on requests and on attempts in flight */
 	uint32_t max_ledger_entries;
--- a/test/support/platform.c
+++ b/test/support/platform.c
@@ -609,7 +609,9 @@
 	GError *error = NULL;
 	int unread_pipe; /* stays open and is never read, so writes block */
 
-	platform_write_settings(vm, "");
+	platform_write_settings(vm, vm->platform->extra_settings
+					    ? vm->platform->extra_settings
+					    : "");
 	if (!g_spawn_async_with_pipes(
 		    NULL, arguments, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
 		    set_parent_death_signal, NULL, &vm->daemon, NULL,
--- a/test/support/platform.h
+++ b/test/support/platform.h
@@ -68,6 +68,7 @@
 typedef struct platform {
 	platform_serve_t serve_request; /* NULL for the default behaviour */
 	bool has_relays; /* VMs bind other IP addresses than they announce */
+	const char *extra_settings; /* further lines of settings, or NULL */
 	GMutex lock;
 	GCond changed; /* store, executions or barrier changed */
 	store_mode_t mode;
--- a/test/unit/test_io_http_client.c
+++ b/test/unit/test_io_http_client.c
@@ -43,6 +43,15 @@
 	"500 A\r\nContent-Length: 4\r\n\r\nnews",
 };
 
+static const dws_http_names_t names = {
+	.attempt_key_header = "X-Attempt",
+	.remaining_ms_header = "X-Remaining",
+	.caller_service_header = "X-Caller",
+	.target_instance_header = "X-Target",
+	.not_run_header = "X-Not-Run",
+	.ready_path = "/ready",
+};
+
 typedef struct upstream {
 	struct ev_loop *ev;
 	dws_address_t address;
@@ -132,7 +141,7 @@
 	settings.platform = upstream->address;
 	CU_ASSERT_TRUE_FATAL(dws_http_client_init(&upstream->client, &ops,
 						  upstream, upstream->ev,
-						  &settings, NULL, NULL));
+						  &settings, &names, NULL));
 }
 
 static void stop_upstream(upstream_t *upstream)
@@ -147,7 +156,18 @@
 	ev_loop_destroy(upstream->ev);
 }
 
-/* Dispatches a request, waits for its end and returns the result. */
+/* Dispatches a request and waits for its end; returns the result. */
+static dws_dispatch_result_t run_dispatch(upstream_t *upstream,
+					  const dws_dispatch_t *request)
+{
+	upstream->completed = 0;
+	dws_http_client_dispatch(&upstream->client, 0, request);
+	CU_ASSERT_EQUAL(upstream->completed, 0);
+	CU_ASSERT_TRUE(io_run_until(upstream->ev, &upstream->completed, 1));
+	return upstream->outcome.result;
+}
+
+/* Dispatches a request that is not routed; returns the result. */
 static dws_dispatch_result_t dispatch(upstream_t *upstream, bool idempotent,
 				      int64_t timeout_us)
 {
@@ -161,11 +181,24 @@
 		.idempotent = idempotent,
 	};
 
-	upstream->completed = 0;
-	dws_http_client_dispatch(&upstream->client, 0, &request);
-	CU_ASSERT_EQUAL(upstream->completed, 0);
-	CU_ASSERT_TRUE(io_run_until(upstream->ev, &upstream->completed, 1));
-	return upstream->outcome.result;
+	return run_dispatch(upstream, &request);
+}
+
+/* Dispatches an idempotent routed request; returns the result. */
+static dws_dispatch_result_t dispatch_routed(upstream_t *upstream,
+					     const char *attempt_key)
+{
+	const dws_dispatch_t request = {
+		.attempt_id = 8,
+		.method = "GET",
+		.path = "/a",
+		.is_routed = true,
+		.attempt_key = attempt_key,
+		.deadline_us = 20 * DWS_US_PER_S,
+		.idempotent = true,
+	};
+
+	return run_dispatch(upstream, &request);
 }
 
 static void test_dispatch(void)
@@ -249,6 +282,64 @@
 	stop_upstream(&upstream);
 }
 
+/*
+ * The upstream answers a request twice, so that the second answer meets the
+ * next request on the connection. That request may lose its own answer, but not
+ * get the other one, and no later request is affected.
+ */
+static void test_surplus_answer(void)
+{
+	static const char twice[] =
+		"200 A\r\nX-Attempt: a-1\r\nContent-Length: 2\r\n\r\nok"
+		"HTTP/1.1 200 A\r\nX-Attempt: a-1\r\nContent-Length: 2"
+		"\r\n\r\nok";
+	static const char *const keys[] = {"a-2", "a-3", "a-4"};
+	static const char *const answers[] = {
+		"200 A\r\nX-Attempt: a-2\r\nContent-Length: 2\r\n\r\nok",
+		"200 A\r\nX-Attempt: a-3\r\nContent-Length: 2\r\n\r\nok",
+		"200 A\r\nX-Attempt: a-4\r\nContent-Length: 2\r\n\r\nok",
+	};
+	upstream_t upstream;
+
+	start_upstream(&upstream);
+	upstream.answer = twice;
+	CU_ASSERT_EQUAL(dispatch_routed(&upstream, "a-1"),
+			DWS_DISPATCH_ANSWERED);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		upstream.answer = answers[i];
+		dws_dispatch_result_t result =
+			dispatch_routed(&upstream, keys[i]);
+
+		CU_ASSERT(result == DWS_DISPATCH_ANSWERED ||
+			  (i == 0 && result == DWS_DISPATCH_LOST));
+	}
+	stop_upstream(&upstream);
+}
+
+/*
+ * Bodies share a quota. One without end is aborted when it is as large as what
+ * is left, and returns its memory; another answer then has room again.
+ */
+static void test_answer_quota(void)
+{
+	static const char small[] = "200 A\r\nContent-Length: 5\r\n\r\n12345";
+	upstream_t upstream;
+
+	start_upstream(&upstream);
+	upstream.client.answer_max_bytes = 1000;
+	upstream.client.answer_quota.max_bytes = 10;
+	for (int i = 0; i < 3; i++) {
+		upstream.answer = small;
+		CU_ASSERT_EQUAL(dispatch(&upstream, true, 20 * DWS_US_PER_S),
+				DWS_DISPATCH_ANSWERED);
+		upstream.answer = "200 A\r\nContent-Length: 6\r\n\r\n123456";
+		CU_ASSERT_EQUAL(dispatch(&upstream, true, 20 * DWS_US_PER_S),
+				DWS_DISPATCH_LOST);
+		CU_ASSERT_EQUAL(upstream.client.answer_quota.used_bytes, 0);
+	}
+	stop_upstream(&upstream);
+}
+
 int main(void)
 {
 	static const suite_test_t tests[] = {
@@ -256,6 +347,8 @@
 		{"not sent", test_not_sent},
 		{"resend by libcurl", test_resend_by_libcurl},
 		{"platform", test_platform_read},
+		{"surplus answer", test_surplus_answer},
+		{"answer quota", test_answer_quota},
 		{NULL, NULL},
 	};
 
