Answer the accept queue before a planned stop, and end within the stop timeout

Cause: closing the listener resets connections that the kernel has accepted, with requests in them; and a drain that waits for a slow answer or reader lasted until the process was killed. Change: connections in the accept queue are accepted and answered before the listener is closed; the new setting stop_timeout ends the process at 90 % of that time. Result: test_io_routed_server passes; with the new function stubbed it fails, as the queue is not reported.

--- a/src/connection/routed_server_io.c
+++ b/src/connection/routed_server_io.c
@@ -409,11 +409,13 @@
 	dws_counters_add(server->counters, DWS_COUNT_CONNECTIONS, 1);
 }
 
-static void on_accept(struct ev_loop *ev, ev_io *watcher, int events)
+/* Accepts connections; returns how many, at most ACCEPTS_PER_EVENT. */
+static int accept_connections(dws_routed_server_t *server)
 {
-	dws_routed_server_t *server = watcher->data;
+	struct ev_loop *ev = server->ev;
+	int count = 0;
 
-	for (int i = 0; i < ACCEPTS_PER_EVENT; i++) {
+	for (; count < ACCEPTS_PER_EVENT; count++) {
 		int fd = accept4(server->listen_fd, NULL, NULL,
 				 SOCK_NONBLOCK | SOCK_CLOEXEC);
 
@@ -424,13 +426,19 @@
 			ev_timer_start(ev, &server->accept_pause);
 		}
 		if (fd < 0)
-			return;
+			break;
 		if (g_hash_table_size(server->connections) >=
 		    server->connections_max)
 			close(fd);
 		else
 			add_connection(server, fd);
 	}
+	return count;
+}
+
+static void on_accept(struct ev_loop *ev, ev_io *watcher, int events)
+{
+	accept_connections(watcher->data);
 }
 
 static void on_accept_pause(struct ev_loop *ev, ev_timer *watcher, int events)
@@ -539,6 +547,13 @@
 	}
 }
 
+/* Accepts the connections in the accept queue; true if there were any. */
+bool dws_routed_server_accept_pending(dws_routed_server_t *server)
+{
+	return server->connections && server->listen_fd >= 0 &&
+	       accept_connections(server) > 0;
+}
+
 /* True if no request is being received, served or answered. */
 bool dws_routed_server_is_idle(const dws_routed_server_t *server)
 {
--- a/src/connection/routed_server_io.h
+++ b/src/connection/routed_server_io.h
@@ -74,6 +74,11 @@
 void dws_routed_server_drain(dws_routed_server_t *server);
 /* Closes idle connections and rejects new requests with status 503. */
 void dws_routed_server_quiesce(dws_routed_server_t *server);
+/*
+ * Accepts the connections in the accept queue, which closing the listener would
+ * reset; true if there were any.
+ */
+bool dws_routed_server_accept_pending(dws_routed_server_t *server);
 /* True if no request is being received, served or answered. */
 bool dws_routed_server_is_idle(const dws_routed_server_t *server);
 
--- a/src/process/loop_io.c
+++ b/src/process/loop_io.c
@@ -32,6 +32,14 @@
 #define DRAIN_GRACE_US (200 * DWS_US_PER_MS)
 /* Time limit for clients that read the last answers slowly. */
 #define DRAIN_FLUSH_TIMEOUT_US (5 * DWS_US_PER_S)
+/*
+ * Time after DRAIN_GRACE_US in which connections from the accept queue are
+ * still answered; closing the listener would reset them.
+ */
+#define DRAIN_ACCEPT_US DWS_US_PER_S
+/* Percentage of the stop timeout after which the process ends by itself. */
+#define STOP_DEADLINE_PERCENT 90
+#define PERCENT 100
 #define NS_PER_US 1000
 #define NS_PER_MS 1000000
 #define NS_PER_S INT64_C(1000000000)
@@ -83,11 +91,32 @@
 	dws_node_drain(loop->node, now_us);
 }
 
+static void end_drain(dws_loop_t *loop, bool answers_cut)
+{
+	log_pair(loop, answers_cut ? DWS_LOG_WARNING : DWS_LOG_INFO,
+		 "drain_ended", "answers_cut", answers_cut ? "true" : "false");
+	ev_break(loop->ev, EVBREAK_ALL);
+}
+
+/* True if the process would soon be killed. */
+static bool is_stop_due(const dws_loop_t *loop, int64_t now_us)
+{
+	int64_t timeout_us = loop->settings.stop_timeout_ms * DWS_US_PER_MS;
+
+	return timeout_us > 0 &&
+	       now_us - loop->drain_started_us >=
+		       timeout_us * STOP_DEADLINE_PERCENT / PERCENT;
+}
+
 /* Ends the loop once the drain is complete and the last answers are sent. */
 static void check_drained(dws_loop_t *loop, int64_t now_us)
 {
 	if (!loop->is_draining)
 		return;
+	if (is_stop_due(loop, now_us)) {
+		end_drain(loop, true);
+		return;
+	}
 	if (now_us - loop->drain_started_us >=
 	    loop->settings.drain_linger_ms * DWS_US_PER_MS)
 		dws_routed_server_quiesce(&loop->routed_server);
@@ -107,9 +136,10 @@
 		return;
 	if (!dws_routed_server_is_idle(&loop->routed_server) && !has_timed_out)
 		return;
-	log_pair(loop, DWS_LOG_INFO, "drain_ended", "answers_cut",
-		 has_timed_out ? "true" : "false");
-	ev_break(loop->ev, EVBREAK_ALL);
+	if (elapsed_us < DRAIN_GRACE_US + DRAIN_ACCEPT_US &&
+	    dws_routed_server_accept_pending(&loop->routed_server))
+		return;
+	end_drain(loop, has_timed_out);
 }
 
 /* Ticks the node and schedules the next tick. */
@@ -429,6 +459,7 @@
 	settings->retry_slack = updated->retry_slack;
 	settings->retry_window_ms = updated->retry_window_ms;
 	settings->drain_linger_ms = updated->drain_linger_ms;
+	settings->stop_timeout_ms = updated->stop_timeout_ms;
 	loop->log.level = updated->log_level;
 	dws_node_reload(loop->node, settings);
 	log_pair(loop, needs_restart ? DWS_LOG_WARNING : DWS_LOG_INFO,
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -92,6 +92,7 @@
 	"retry_ratio",	   "retry_slack",
 	"retry_window",	   "platform_protocol",
 	"bind_ip",	   "memory_mb",
+	"stop_timeout",
 };
 
 static const char *const level_names[] = {
@@ -303,6 +304,8 @@
 	dws_fields_fraction(fields, "retry_ratio", &settings->retry_ratio);
 	dws_fields_duration(fields, "retry_window", 1, HOUR_MS,
 			    &settings->retry_window_ms);
+	dws_fields_duration(fields, "stop_timeout", 1, HOUR_MS,
+			    &settings->stop_timeout_ms);
 	size_t policy = read_choice(fields, "policy", policy_names,
 				    G_N_ELEMENTS(policy_names), 0);
 
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -62,6 +62,8 @@
 	uint32_t retry_slack; /* retries per window beyond that ratio */
 	uint32_t retry_window_ms;
 	uint32_t drain_linger_ms; /* minimum duration of a drain */
+	/* Time from a stop signal until the process is killed; 0: never. */
+	uint32_t stop_timeout_ms;
 	char policy[16]; /* "adaptive", "fixed" or "none" */
 };
 
--- /dev/null
+++ b/test/unit/test_io_routed_server.c
@@ -0,0 +1,110 @@
+/*
+ * Tests of the routed listener while it shuts down: connections that wait in
+ * the accept queue with a complete request get an answer.
+ */
+#include "connection/routed_server_io.h"
+#include "io_loop.h"
+
+#define WAITING 5
+
+typedef struct fake_owner {
+	struct ev_loop *ev;
+	dws_counters_t counters;
+	dws_routed_server_t server;
+	uint64_t calls;
+} fake_owner_t;
+
+static const dws_http_names_t names = {
+	.attempt_key_header = "X-Attempt",
+	.remaining_ms_header = "X-Remaining",
+	.caller_service_header = "X-Caller",
+	.target_instance_header = "X-Target",
+	.not_run_header = "X-Not-Run",
+	.ready_path = "/ready",
+};
+
+static uint64_t on_call(void *context, const dws_call_t *call)
+{
+	return ++((fake_owner_t *)context)->calls;
+}
+
+static void on_caller_disconnected(void *context, uint64_t call_id)
+{
+}
+
+static bool on_is_ready(void *context)
+{
+	return true;
+}
+
+static void on_get_limits(void *context, dws_caller_limits_t *limits)
+{
+	*limits = (dws_caller_limits_t){
+		.max_header_bytes = 1000,
+		.max_body_bytes = 1000,
+		.header_timeout_ms = 10000,
+		.idle_timeout_ms = 10000,
+	};
+}
+
+static const dws_routed_server_ops_t ops = {
+	.call = on_call,
+	.caller_disconnected = on_caller_disconnected,
+	.is_ready = on_is_ready,
+	.get_limits = on_get_limits,
+};
+
+static void start_server(fake_owner_t *owner)
+{
+	dws_settings_t settings = {.max_connections = 100};
+	dws_address_t listen = {.ip = "127.0.0.1"};
+
+	memset(owner, 0, sizeof(*owner));
+	owner->ev = ev_loop_new(0);
+	CU_ASSERT_TRUE_FATAL(dws_routed_server_init(
+		&owner->server, &ops, owner, owner->ev, &owner->counters,
+		&names, &settings, &listen, NULL));
+}
+
+static void stop_server(fake_owner_t *owner)
+{
+	dws_routed_server_finish(&owner->server);
+	ev_loop_destroy(owner->ev);
+}
+
+static void test_accept_queue_at_shutdown(void)
+{
+	fake_owner_t owner;
+	int fds[WAITING];
+
+	start_server(&owner);
+	dws_routed_server_quiesce(&owner.server);
+	for (int i = 0; i < WAITING; i++) {
+		fds[i] = io_connect(&owner.server.address);
+		io_send_text(fds[i], "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+	}
+	CU_ASSERT_TRUE(dws_routed_server_is_idle(&owner.server));
+	CU_ASSERT_TRUE(dws_routed_server_accept_pending(&owner.server));
+	CU_ASSERT_FALSE(dws_routed_server_accept_pending(&owner.server));
+	for (int i = 0; i < WAITING; i++) {
+		char *answer = io_read_until(owner.ev, fds[i], NULL);
+
+		CU_ASSERT_PTR_NOT_NULL(strstr(answer, "HTTP/1.1 503 "));
+		CU_ASSERT_PTR_NOT_NULL(strstr(answer, "Connection: close"));
+		CU_ASSERT_PTR_NOT_NULL(strstr(answer, "Retry-After: "));
+		g_free(answer);
+		close(fds[i]);
+	}
+	CU_ASSERT_EQUAL(owner.calls, 0);
+	stop_server(&owner);
+}
+
+int main(void)
+{
+	static const suite_test_t tests[] = {
+		{"accept queue at shutdown", test_accept_queue_at_shutdown},
+		{NULL, NULL},
+	};
+
+	return suite_main("routed server", tests);
+}
