Run nested calls by the age of their root request

Cause: in an overload each kind of request was served newest first, nested calls too. A root that makes eight calls in turn then lost one of them at any point, with the calls before it wasted. Ruled out: first come, first served (a burst then delays all roots over their timeout), and a tighter throttle of roots alone, both in the same model. Change: a nested call carries the age of its root request, found by the attempt that makes it; queues run nested calls before root requests of their kind, those of the oldest root first, and displace those of the youngest.

--- a/src/connection/envelope.c
+++ b/src/connection/envelope.c
@@ -66,6 +66,7 @@
 			 Dws__Context *wire)
 {
 	int64_t remaining_us = context->deadline_us - node->now_us;
+	int64_t root_age_us = node->now_us - context->root_started_us;
 
 	dws__context__init(wire);
 	wire->trace_id.data = (uint8_t *)context->trace_id;
@@ -82,6 +83,8 @@
 	wire->place = context->tree_position;
 	wire->root_kind = (char *)context->root_kind;
 	wire->root_worth = context->root_worth;
+	wire->nested = context->is_nested;
+	wire->root_age_us = (uint32_t)CLAMP(root_age_us, 0, UINT32_MAX);
 }
 
 /*
@@ -113,6 +116,8 @@
 	g_strlcpy(context->root_kind, wire->root_kind,
 		  sizeof(context->root_kind));
 	context->root_worth = MAX(wire->root_worth, 1);
+	context->is_nested = wire->nested;
+	context->root_started_us = node->now_us - wire->root_age_us - waited_us;
 	return true;
 }
 
--- a/src/connection/wire.pb-c.c
+++ b/src/connection/wire.pb-c.c
@@ -682,7 +682,7 @@
   assert(message->base.descriptor == &dws__probe__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor dws__context__field_descriptors[13] =
+static const ProtobufCFieldDescriptor dws__context__field_descriptors[15] =
 {
   {
     "trace_id",
@@ -840,17 +840,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "nested",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Dws__Context, nested),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "root_age_us",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Dws__Context, root_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned dws__context__field_indices_by_name[] = {
   2,   /* field[2] = customer */
   8,   /* field[8] = home_epoch */
   7,   /* field[7] = home_vm */
   5,   /* field[5] = hop */
+  13,   /* field[13] = nested */
   1,   /* field[1] = parent_span */
   10,   /* field[10] = place */
   3,   /* field[3] = remaining_us */
   6,   /* field[6] = retried */
   4,   /* field[4] = retry_tokens */
+  14,   /* field[14] = root_age_us */
   11,   /* field[11] = root_kind */
   9,   /* field[9] = root_serial */
   12,   /* field[12] = root_worth */
@@ -859,7 +885,7 @@
 static const ProtobufCIntRange dws__context__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor dws__context__descriptor =
 {
@@ -869,7 +895,7 @@
   "Dws__Context",
   "dws",
   sizeof(Dws__Context),
-  13,
+  15,
   dws__context__field_descriptors,
   dws__context__field_indices_by_name,
   1,  dws__context__number_ranges,
--- a/src/connection/wire.pb-c.h
+++ b/src/connection/wire.pb-c.h
@@ -81,10 +81,18 @@
   uint64_t place;
   char *root_kind;
   uint32_t root_worth;
+  /*
+   * a call made by an upstream
+   */
+  protobuf_c_boolean nested;
+  /*
+   * time since the root request arrived
+   */
+  uint32_t root_age_us;
 };
 #define DWS__CONTEXT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&dws__context__descriptor) \
-    , {0,NULL}, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , {0,NULL}, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Dws__Request
--- a/src/process/node_internal.h
+++ b/src/process/node_internal.h
@@ -57,6 +57,8 @@
 	uint64_t tree_position; /* in the call tree; 0: the root request */
 	char root_kind[DWS_NAME_SIZE];
 	uint32_t root_worth; /* worth of root_kind: its weight in queues */
+	bool is_nested; /* a call made by an upstream */
+	int64_t root_started_us; /* arrival of the root request */
 } dws_context_t;
 
 /* The request as passed to the upstream; its body is reference-counted. */
@@ -248,6 +250,12 @@
  */
 bool dws_node_accepts_work(const dws_node_t *node);
 
+/* The start of the root request by which a queue orders nested calls. */
+static inline int64_t dws_context_root_start(const dws_context_t *context)
+{
+	return context->is_nested ? MAX(context->root_started_us, 1) : 0;
+}
+
 static inline void dws_count(dws_node_t *node, dws_counter_t counter)
 {
 	dws_counters_add(&node->counters, counter, 1);
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -426,7 +426,8 @@
 		.priority = request->priority,
 		.weight = attempt->context.root_worth,
 		.enqueued_us = node->now_us,
-		.deadline_us = attempt->context.deadline_us};
+		.deadline_us = attempt->context.deadline_us,
+		.root_started_us = dws_context_root_start(&attempt->context)};
 
 	if (request->is_routed)
 		item.latest_start_us = node->now_us + request->max_wait_us;
--- a/src/request/incoming.c
+++ b/src/request/incoming.c
@@ -85,6 +85,7 @@
 		g_strlcpy(context->customer, call->customer,
 			  sizeof(context->customer));
 	context->deadline_us = node->now_us + timeout_us(call, &request->kind);
+	context->root_started_us = node->now_us;
 	context->retry_tokens = request->kind.retry_budget;
 	g_strlcpy(context->root_kind, request->kind.name,
 		  sizeof(context->root_kind));
@@ -146,6 +147,7 @@
 		return DWS_REASON_RETRY_BUDGET;
 	*context = parent->context;
 	context->hop++;
+	context->is_nested = true;
 	context->parent_span = parent->span_id;
 	context->tree_position =
 		tree_position(parent, &request->kind, call->idempotency_key);
--- a/src/request/outgoing.c
+++ b/src/request/outgoing.c
@@ -58,6 +58,7 @@
 		.weight = request->context.root_worth,
 		.enqueued_us = node->now_us,
 		.deadline_us = request->context.deadline_us,
+		.root_started_us = dws_context_root_start(&request->context),
 	};
 
 	if (!dws_queue_push(get_held_queue(node, request->kind.service), &item,
--- a/src/request/queue.c
+++ b/src/request/queue.c
@@ -11,6 +11,9 @@
  * likely to miss their deadlines, and the kind is served LIFO (adaptive LIFO:
  * Maurer, "Fail at Scale", ACM Queue 2015). Requests sent after a load peak are
  * thus served at once, while those left over from the peak expire.
+ *
+ * Nested calls are served by the age of their root request, in an overload too:
+ * roots that have begun are finished, and those that fail have used least.
  */
 #include "request/queue.h"
 
@@ -146,8 +149,21 @@
 }
 
 /*
- * Returns true if the oldest item of a kind has waited for more than
- * 1/LIFO_DIVISOR of its time. The arrival of the newest item is taken as the
+ * True if an item runs before an earlier one of its kind: nested calls run
+ * before root requests, those of the oldest root first.
+ */
+static bool runs_before(const dws_queue_item_t *item,
+			const dws_queue_item_t *earlier)
+{
+	if (item->root_started_us == 0)
+		return false;
+	return earlier->root_started_us == 0 ||
+	       item->root_started_us < earlier->root_started_us;
+}
+
+/*
+ * Returns true if a kind has no nested calls, and its oldest item has waited for
+ * more than 1/LIFO_DIVISOR of its time. The arrival of the newest item is taken as the
  * present time, as items arrive at short intervals during an overload.
  */
 static bool serves_newest_first(const dws_flow_t *flow)
@@ -160,6 +176,8 @@
 		return false;
 	oldest = flow->entries.head->data;
 	newest = flow->entries.tail->data;
+	if (oldest->item.root_started_us > 0)
+		return false;
 	time_us = latest_start_us(&oldest->item) - oldest->item.enqueued_us;
 	return newest->item.enqueued_us - oldest->item.enqueued_us >
 	       time_us / LIFO_DIVISOR;
@@ -260,6 +278,17 @@
 	return flow;
 }
 
+/* Adds an entry to its flow, behind those that are to run before it. */
+static void insert_in_order(dws_flow_t *flow, dws_entry_t *entry)
+{
+	GList *before = flow->entries.tail;
+
+	while (before &&
+	       runs_before(&entry->item, &((dws_entry_t *)before->data)->item))
+		before = before->prev;
+	g_queue_insert_after_link(&flow->entries, before, &entry->link);
+}
+
 static void add_entry(dws_queue_t *queue, const dws_queue_item_t *item)
 {
 	dws_level_t *level = &queue->levels[item->priority];
@@ -269,7 +298,7 @@
 	entry->sequence = queue->next_sequence++;
 	entry->flow = get_flow(level, item);
 	entry->link.data = entry;
-	g_queue_push_tail_link(&entry->flow->entries, &entry->link);
+	insert_in_order(entry->flow, entry);
 	level->length++;
 	queue->occupied[item->priority / BITMAP_WORD_BITS] |=
 		UINT64_C(1) << (item->priority % BITMAP_WORD_BITS);
@@ -309,6 +338,18 @@
 	return largest;
 }
 
+/* True if an arrival takes the place of an item of its own kind. */
+static bool may_displace(const dws_flow_t *flow,
+			 const dws_queue_item_t *arrival)
+{
+	const dws_entry_t *last;
+
+	if (flow->entries.length == 0)
+		return false;
+	last = flow->entries.tail->data;
+	return serves_newest_first(flow) || runs_before(arrival, &last->item);
+}
+
 /*
  * Evicts an item from a full queue in favour of an arrival. Returns false if
  * the arrival has to be refused instead.
@@ -327,7 +368,7 @@
 				  same_priority ? arrival : NULL);
 	if (!flow) {
 		flow = find_flow(&queue->levels[lowest], arrival->kind);
-		if (!flow || !serves_newest_first(flow))
+		if (!flow || !may_displace(flow, arrival))
 			return false;
 	}
 	last = eviction_candidate(flow);
--- a/src/request/routed.c
+++ b/src/request/routed.c
@@ -88,6 +88,18 @@
 	return DWS_REASON_NONE;
 }
 
+/* Takes over the age of the root request from the attempt that makes a call. */
+static void inherit_root_age(dws_node_t *node, dws_request_t *request)
+{
+	const dws_attempt_t *caller =
+		dws_attempt_find_running(node, request->caller_attempt);
+
+	request->context.is_nested = true;
+	if (caller)
+		request->context.root_started_us =
+			caller->context.root_started_us;
+}
+
 /* Handles a call of the routed listener. */
 void dws_request_on_routed_call(dws_node_t *node, uint64_t id,
 				const dws_call_t *call)
@@ -107,6 +119,8 @@
 		return;
 	}
 	dws_request_init_root_context(node, request, call);
+	if (request->is_nested_call)
+		inherit_root_age(node, request);
 	dws_request_set_payload(request, call);
 	dws_request_start_deadline_timer(node, request);
 	dws_timer_t timer = {.due_us = node->now_us +
--- a/test/fuzz/fuzz_queue.c
+++ b/test/fuzz/fuzz_queue.c
@@ -72,6 +72,58 @@
 		       sizeof(oracle->starts[0][0]));
 }
 
+/* True if an item runs before another one of its kind that arrived earlier. */
+static bool runs_before(const dws_queue_item_t *item,
+			const dws_queue_item_t *earlier)
+{
+	return item->root_started_us > 0 &&
+	       (earlier->root_started_us == 0 ||
+		item->root_started_us < earlier->root_started_us);
+}
+
+/*
+ * Finds the first and the last item to run of the kind and priority of an item,
+ * among the first count items.
+ */
+static void find_ends(const oracle_t *oracle, const dws_queue_item_t *item,
+		      uint32_t count, const dws_queue_item_t **first,
+		      const dws_queue_item_t **last)
+{
+	*first = NULL;
+	*last = NULL;
+	for (uint32_t i = 0; i < count; i++) {
+		const dws_queue_item_t *other = &oracle->items[i];
+
+		if (other->priority != item->priority ||
+		    other->kind != item->kind)
+			continue;
+		if (!*first || runs_before(other, *first))
+			*first = other;
+		if (!*last || !runs_before(other, *last))
+			*last = other;
+	}
+}
+
+/*
+ * Checks the order of a kind with nested calls: the call of the oldest root
+ * runs first, and the item that would run last is evicted, which may be the new
+ * one. False if there are no nested calls among the first count items.
+ */
+static bool check_nested_order(const oracle_t *oracle,
+			       const dws_queue_item_t *item, uint32_t count,
+			       bool is_eviction)
+{
+	const dws_queue_item_t *first;
+	const dws_queue_item_t *last;
+
+	find_ends(oracle, item, count, &first, &last);
+	if (!first || first->root_started_us == 0)
+		return false;
+	find_ends(oracle, item, oracle->length, &first, &last);
+	require(item == (is_eviction ? last : first));
+	return true;
+}
+
 /*
  * Checks that an item is the newest or the oldest of its kind and priority
  * among the first count items. The expectation is reversed if the newest was
@@ -83,6 +135,8 @@
 	const dws_queue_item_t *oldest = NULL;
 	const dws_queue_item_t *newest = NULL;
 
+	if (check_nested_order(oracle, item, count, expects_newest))
+		return;
 	for (uint32_t i = 0; i < count; i++) {
 		const dws_queue_item_t *other = &oracle->items[i];
 
@@ -98,6 +152,7 @@
 				      8)
 		expects_newest = !expects_newest;
 	else if (expects_newest && count < oracle->length &&
+		 !(oldest && oracle->items[count].root_started_us > 0) &&
 		 oracle->items[count].kind == item->kind &&
 		 oracle->items[count].priority == item->priority)
 		newest = &oracle->items[count];
@@ -142,6 +197,7 @@
 		.enqueued_us = oracle->now_us,
 		.deadline_us = oracle->now_us + b,
 		.expected_us = a >> 6,
+		.root_started_us = b % 2 ? 1 + b / 32 : 0,
 	};
 	uint8_t threshold = dws_queue_min_priority(queue, CAPACITY);
 	uint64_t displaced;
