Avoid a daemon that refuses every attempt at once

Change: such a refusal counts as a lost response for the routing, which avoids the daemon with exponential backoff.

--- a/src/request/completion.c
+++ b/src/request/completion.c
@@ -434,6 +434,19 @@
 		!answered || reply->status >= STATUS_SERVER_ERROR);
 }
 
+/*
+ * True if a daemon refuses attempts whatever its load: it or its upstream is
+ * stopping or unreachable, or serves another service. Its load report would make
+ * it look idle.
+ */
+static bool refuses_all_attempts(const dws_reply_t *reply)
+{
+	return reply->outcome == DWS_OUTCOME_NOT_RUN &&
+	       (reply->reason == DWS_REASON_NO_ENDPOINT ||
+		reply->reason == DWS_REASON_DRAINING ||
+		reply->reason == DWS_REASON_MISDIRECTED);
+}
+
 static void on_attempt_reply(dws_node_t *node, dws_request_t *request,
 			     const dws_reply_t *reply)
 {
@@ -444,8 +457,9 @@
 	if (reply->outcome == DWS_OUTCOME_NOT_RUN &&
 	    is_stale_recall(node, request))
 		return;
-	dws_routing_report_response(node->routing, node->now_us,
-				    request->target_vm, &reply->load);
+	dws_routing_report_response(
+		node->routing, node->now_us, request->target_vm,
+		refuses_all_attempts(reply) ? NULL : &reply->load);
 	report_target_result(node, request, reply);
 	node->recheck_held = true;
 	if (reply->overloaded_service[0])
--- a/test/unit/test_node.c
+++ b/test/unit/test_node.c
@@ -49,6 +49,7 @@
 	uint32_t replies; /* Answer messages sent to peers */
 	uint32_t executes; /* Execute messages sent to peers */
 	uint64_t execute_id; /* attempt id of the latest one */
+	uint16_t execute_port; /* that it was sent to */
 	uint32_t pulls; /* Pull messages sent to peers */
 } recorder_t;
 
@@ -106,6 +107,7 @@
 	if (envelope->body_case == DWS__ENVELOPE__BODY_EXECUTE) {
 		recorder->executes++;
 		recorder->execute_id = envelope->execute->attempt_id;
+		recorder->execute_port = to->port;
 	}
 	if (envelope->body_case == DWS__ENVELOPE__BODY_PULL)
 		recorder->pulls++;
@@ -563,6 +565,86 @@
 					      data, size_bytes, NULL));
 }
 
+/* Receives a reply of a peer to the latest Execute message. */
+static void receive_reply(recorder_t *recorder, char *vm_id,
+			  Dws__Outcome outcome, dws_reason_t reason)
+{
+	uint8_t data[256];
+	Dws__Envelope envelope = DWS__ENVELOPE__INIT;
+	Dws__Answer answer = DWS__ANSWER__INIT;
+	Dws__Load load = DWS__LOAD__INIT;
+
+	load.limit = 100;
+	load.service_us = 1000;
+	answer.id = recorder->execute_id;
+	answer.outcome = outcome;
+	answer.reason = reason;
+	answer.status = outcome == DWS__OUTCOME__COMPLETE ? 200 : 0;
+	answer.load = &load;
+	envelope.from_vm = vm_id;
+	envelope.from_epoch = 88;
+	envelope.from_ip = "127.0.0.1";
+	envelope.from_port = recorder->execute_port;
+	envelope.to_epoch = 77;
+	envelope.body_case = DWS__ENVELOPE__BODY_ANSWER;
+	envelope.answer = &answer;
+	size_t size_bytes = dws__envelope__pack(&envelope, data);
+
+	CU_ASSERT_TRUE(dws_node_receive_frame(recorder->node, recorder->now_us,
+					      data, size_bytes, NULL));
+}
+
+/*
+ * Load pattern "a server that refuses at once": it looks idle and fast, but each
+ * call to it is wasted. Calls that met it are answered elsewhere, and it gets
+ * few further ones.
+ */
+static void check_refusing_server(dws_reason_t reason)
+{
+	static const char *const list =
+		"revision: 2\n"
+		"vms: [{id: vm-2, ip: 127.0.0.1, frame_port: 14,"
+		" datagram_port: 15, zone: a, service: far, state: live},"
+		" {id: vm-3, ip: 127.0.0.1, frame_port: 24,"
+		" datagram_port: 25, zone: a, service: far, state: live}]\n";
+	dws_call_t call = {.is_routed = true,
+			   .method = "GET",
+			   .path = "/x",
+			   .host = "h",
+			   .headers = "",
+			   .attempt_key = "key"};
+	recorder_t recorder;
+	int refused = 0;
+
+	start_node_with_route(&recorder);
+	dws_node_platform_read_finished(recorder.node, recorder.now_us,
+					DWS_PLATFORM_VMS, true, list,
+					strlen(list));
+	for (uint32_t i = 0; i < 100; i++) {
+		advance_clock(&recorder, 2 * DWS_US_PER_MS);
+		dws_node_call(recorder.node, recorder.now_us, &call);
+		if (recorder.execute_port == 14) {
+			refused++;
+			receive_reply(&recorder, "vm-2", DWS__OUTCOME__NOT_RUN,
+				      reason);
+		}
+		CU_ASSERT_EQUAL(recorder.execute_port, 24);
+		receive_reply(&recorder, "vm-3", DWS__OUTCOME__COMPLETE,
+			      DWS_REASON_NONE);
+		CU_ASSERT_EQUAL(recorder.answers, i + 1);
+		CU_ASSERT_EQUAL(recorder.status, 200);
+	}
+	CU_ASSERT(refused <= 5);
+	finish_node(&recorder);
+}
+
+static void test_server_that_refuses_at_once_gets_few_calls(void)
+{
+	check_refusing_server(DWS_REASON_NO_ENDPOINT);
+	check_refusing_server(DWS_REASON_DRAINING);
+	check_refusing_server(DWS_REASON_MISDIRECTED);
+}
+
 /*
  * The stream to an executor breaks while the upstream processes the request,
  * and the retry budget allows no resend. The attempt must stay pending, because
@@ -764,6 +846,8 @@
 		{"reserved connections",
 		 test_connections_are_reserved_for_high_priority},
 		{"broken stream", test_broken_stream_keeps_attempt_pending},
+		{"server that refuses at once",
+		 test_server_that_refuses_at_once_gets_few_calls},
 		{"own zone first", test_vm_list_is_pulled_from_own_zone_first},
 		{"invalid document", test_invalid_document_stops_confirmation},
 		{"deadline while paused", test_deadline_expires_while_paused},
