Keep as many upstream connections as requests run at a time

Cause: libcurl kept 128 connections in all. Change: 1024 connections are kept, more than an upstream of the deployments takes; unused ones are closed by the upstream's idle timeout. Result: test_io_http_client, kept connections, fails with the old limit.

--- a/src/connection/http_client_io.c
+++ b/src/connection/http_client_io.c
@@ -32,8 +32,8 @@
 /* Share of the process's memory for the bodies of answers being received. */
 #define ANSWER_MEMORY_DIVISOR 4
 #define ANSWER_QUOTA_DEFAULT_BYTES (256 * BYTES_PER_MB)
-#define IDLE_HANDLES_MAX 128U
-#define IDLE_CONNECTIONS_MAX 128L
+#define IDLE_HANDLES_MAX 256U
+#define IDLE_CONNECTIONS_MAX 1024L
 #define URL_SIZE 128
 #define STATUS_NO_CONTENT 204
 #define STATUS_UNAVAILABLE 503
--- a/test/unit/test_io_http_client.c
+++ b/test/unit/test_io_http_client.c
@@ -7,6 +7,7 @@
 #include "io_loop.h"
 
 #define CLOSE "Connection: close\r\n"
+#define CONNECTIONS_MAX 1600
 
 typedef struct dispatch_case {
 	const char *answer; /* NULL: close the connection; "": no answer */
@@ -56,7 +57,9 @@
 	struct ev_loop *ev;
 	dws_address_t address;
 	ev_io accept_watcher;
-	ev_io read_watchers[16];
+	ev_io read_watchers[CONNECTIONS_MAX];
+	uint32_t
+		batch; /* requests that are answered together; 0: each at once */
 	uint32_t connections;
 	uint32_t requests;
 	const char *answer;
@@ -69,6 +72,21 @@
 	char text[16];
 } upstream_t;
 
+/* Answers all connections once a whole batch of requests has arrived. */
+static void answer_batch(upstream_t *upstream)
+{
+	if (upstream->requests % upstream->batch != 0)
+		return;
+	for (uint32_t i = 0; i < upstream->connections; i++) {
+		const ev_io *watcher = &upstream->read_watchers[i];
+
+		if (!ev_is_active(watcher))
+			continue;
+		io_send_text(watcher->fd, "HTTP/1.1 ");
+		io_send_text(watcher->fd, upstream->answer);
+	}
+}
+
 static void on_request(struct ev_loop *ev, ev_io *watcher, int events)
 {
 	upstream_t *upstream = watcher->data;
@@ -79,6 +97,10 @@
 
 	if (received > 0) {
 		upstream->requests++;
+		if (upstream->batch) {
+			answer_batch(upstream);
+			return;
+		}
 		g_usleep(upstream->answer_delay_us);
 		if (upstream->next_answer)
 			upstream->answer = upstream->next_answer;
@@ -340,6 +362,40 @@
 	stop_upstream(&upstream);
 }
 
+/*
+ * Connections are kept for as many requests as run at a time, so that the next
+ * batch of requests needs no new ones.
+ */
+static void test_connections_are_kept(void)
+{
+	const uint32_t batch = 500;
+	upstream_t *upstream = g_new0(upstream_t, 1);
+
+	start_upstream(upstream);
+	upstream->answer = "200 A\r\nContent-Length: 2\r\n\r\nok";
+	upstream->batch = batch;
+	for (int round = 0; round < 3; round++) {
+		upstream->completed = 0;
+		for (uint32_t i = 0; i < batch; i++) {
+			const dws_dispatch_t request = {
+				.attempt_id = i + 1,
+				.method = "GET",
+				.path = "/a",
+				.deadline_us = 20 * DWS_US_PER_S,
+				.idempotent = true,
+			};
+
+			dws_http_client_dispatch(&upstream->client, 0,
+						 &request);
+		}
+		CU_ASSERT_TRUE(io_run_until(upstream->ev, &upstream->completed,
+					    batch));
+		CU_ASSERT_EQUAL(upstream->connections, batch);
+	}
+	stop_upstream(upstream);
+	g_free(upstream);
+}
+
 int main(void)
 {
 	static const suite_test_t tests[] = {
@@ -349,6 +405,7 @@
 		{"platform", test_platform_read},
 		{"surplus answer", test_surplus_answer},
 		{"answer quota", test_answer_quota},
+		{"kept connections", test_connections_are_kept},
 		{NULL, NULL},
 	};
 
