Split retries, lookups of attempts and upstream headers into files of their own

No behaviour changes: completion.c keeps replies, deadlines and cancellation, attempt.c the life of an attempt, http_client_io.c the transfers. Two tests share the header names of the platform, and test_node has one function for replies.

--- a/src/connection/http_client_io.c
+++ b/src/connection/http_client_io.c
@@ -11,6 +11,7 @@
  */
 #include <string.h>
 #include "connection/http_client_io.h"
+#include "connection/http_headers_io.h"
 #include "version/config.h"
 
 #define CONNECT_TIMEOUT_MS 1000L
@@ -202,15 +203,6 @@
 	g_free(transfer);
 }
 
-static void add_header(transfer_t *transfer, const char *name,
-		       const char *value)
-{
-	char *line = g_strconcat(name, ": ", value, NULL);
-
-	transfer->headers = curl_slist_append(transfer->headers, line);
-	g_free(line);
-}
-
 /* Formats an address as "http://IP:PORT/". */
 static void format_url(char *url, size_t size, const dws_address_t *address)
 {
@@ -275,86 +267,6 @@
 		curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, dispatch->method);
 }
 
-/* Adds a header line; "Name:" suppresses the header that libcurl would add. */
-static void add_header_line(transfer_t *transfer, const char *line)
-{
-	transfer->headers = curl_slist_append(transfer->headers, line);
-}
-
-/* True if the lines contain a header of this name. */
-static bool has_header(const char *lines, const char *name)
-{
-	size_t length = strlen(name);
-
-	for (const char *at = lines; at && *at; at = strchr(at, '\n')) {
-		at += *at == '\n';
-		if (g_ascii_strncasecmp(at, name, length) == 0 &&
-		    at[length] == ':')
-			return true;
-	}
-	return false;
-}
-
-/* Sets the headers of a routed request: the caller's and the daemon's own. */
-static void set_routed_headers(transfer_t *transfer,
-			       const dws_dispatch_t *dispatch,
-			       int64_t remaining_ms)
-{
-	const dws_http_names_t *http_names = transfer->client->http_names;
-	char **lines = g_strsplit(dispatch->headers ? dispatch->headers : "",
-				  "\r\n", -1);
-	char text[32];
-
-	for (char **line = lines; *line; line++) {
-		char *colon = strchr(*line, ':');
-
-		if (!colon)
-			continue;
-		/* libcurl requires "Name;" to send a header without value. */
-		if (colon[1 + strspn(colon + 1, " ")] == '\0')
-			memcpy(colon, ";", sizeof(";"));
-		add_header_line(transfer, *line);
-	}
-	g_strfreev(lines);
-	g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT, remaining_ms);
-	add_header(transfer, http_names->remaining_ms_header, text);
-	if (dispatch->upstream_id && dispatch->upstream_id[0])
-		add_header(transfer, http_names->target_instance_header,
-			   dispatch->upstream_id);
-	if (!has_header(dispatch->headers, "Content-Type"))
-		add_header_line(transfer, "Content-Type:");
-	if (!has_header(dispatch->headers, "Accept"))
-		add_header_line(transfer, "Accept:");
-	add_header_line(transfer, "Expect:");
-}
-
-/* Sets the headers of a request that is not routed. */
-static void set_call_headers(transfer_t *transfer,
-			     const dws_dispatch_t *dispatch,
-			     int64_t remaining_ms)
-{
-	char text[32];
-
-	g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x",
-		   dispatch->attempt_id);
-	add_header(transfer, "Dogwoodshift-Call", text);
-	g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT, remaining_ms);
-	add_header(transfer, "Dogwoodshift-Timeout-Ms", text);
-	if (dispatch->customer && dispatch->customer[0])
-		add_header(transfer, "Dogwoodshift-Customer",
-			   dispatch->customer);
-	if (dispatch->identity && dispatch->identity[0])
-		add_header(transfer, "Idempotency-Key", dispatch->identity);
-	if (dispatch->traceparent[0])
-		add_header(transfer, "traceparent", dispatch->traceparent);
-	if (dispatch->content_type && dispatch->content_type[0])
-		add_header(transfer, "Content-Type", dispatch->content_type);
-	else
-		transfer->headers =
-			curl_slist_append(transfer->headers, "Content-Type:");
-	transfer->headers = curl_slist_append(transfer->headers, "Expect:");
-}
-
 /* Schedules the report of a dispatch that was not sent. */
 static void queue_unsent(dws_http_client_t *client, uint64_t attempt_id)
 {
@@ -401,10 +313,10 @@
 			     dispatch->attempt_key);
 	g_hash_table_insert(client->dispatches, &transfer->attempt_id,
 			    transfer);
-	if (is_routed)
-		set_routed_headers(transfer, dispatch, remaining_ms);
-	else
-		set_call_headers(transfer, dispatch, remaining_ms);
+	transfer->headers =
+		is_routed ? dws_http_headers_routed(client->http_names,
+						    dispatch, remaining_ms)
+			  : dws_http_headers_call(dispatch, remaining_ms);
 	set_transfer_options(transfer, &client->upstream, dispatch->path,
 			     dispatch->idempotent
 				     ? remaining_ms
--- a/src/connection/reply.c
+++ b/src/connection/reply.c
@@ -84,9 +84,9 @@
 	bool is_older = wire->crowded[0] && wire->crowded_permille == 0;
 
 	g_strlcpy(report->service, wire->crowded, sizeof(report->service));
-	report->permille = is_older ? CONGESTION_MAX_PERMILLE
-				    : MIN(wire->crowded_permille,
-					  CONGESTION_MAX_PERMILLE);
+	report->permille =
+		is_older ? CONGESTION_MAX_PERMILLE
+			 : MIN(wire->crowded_permille, CONGESTION_MAX_PERMILLE);
 	report->call_refused = wire->call_refused || is_older;
 }
 
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -57,6 +57,33 @@
 /* Restarts the backoff of answers that a lost stream may have carried. */
 void dws_attempt_reset_resend_backoff(dws_node_t *node,
 				      const dws_address_t *to);
+/* Records the congestion that a nested call of an attempt has met. */
+void dws_attempt_report_congestion(dws_node_t *node, uint64_t attempt_id,
+				   const dws_congestion_report_t *report);
+/* Finds a running attempt by the id given to the upstream; NULL if ended. */
+dws_attempt_t *dws_attempt_find_running(dws_node_t *node, uint64_t attempt_id);
+/* Records that the upstream makes a nested call for an attempt. */
+void dws_attempt_nested_begin(dws_node_t *node, dws_attempt_t *attempt,
+			      uint64_t request_id);
+/* Records the end of a nested call and returns its unused retry tokens. */
+void dws_attempt_nested_end(dws_node_t *node, uint64_t attempt_id,
+			    uint64_t request_id, uint32_t tokens);
+/*
+ * Fences an id of another process: its attempt or submitted request is refused
+ * if it arrives later. Returns false if the table is full.
+ */
+bool dws_fence_add(dws_node_t *node, const dws_remote_id_t *remote);
+/* True if an id of another process is fenced. */
+bool dws_fence_has(dws_node_t *node, const dws_remote_id_t *remote);
+/* Maps the name of a kind to a stable number, used by the queues. */
+uint32_t dws_kind_id(dws_node_t *node, const char *kind);
+
+/* attempt_index.c: running routed attempts */
+/* Orders attempts by deadline, then by id; for node->running_by_deadline. */
+gint dws_attempt_compare(gconstpointer a, gconstpointer b, gpointer unused);
+/* Adds an attempt to the indexes that find the parent of a call. */
+void dws_attempt_index(dws_node_t *node, dws_attempt_t *attempt);
+void dws_attempt_unindex(dws_node_t *node, dws_attempt_t *attempt);
 /*
  * Finds the running routed attempt whose deadline is nearest to that of a call
  * of the local upstream, as calls mostly have the deadline of the attempt that
@@ -78,27 +105,5 @@
 const dws_attempt_t *dws_attempt_find_by_kind(const dws_node_t *node,
 					      const char *kind,
 					      int64_t deadline_us);
-/* Records the congestion that a nested call of an attempt has met. */
-void dws_attempt_report_congestion(dws_node_t *node, uint64_t attempt_id,
-				   const dws_congestion_report_t *report);
-/* Orders attempts by deadline, then by id; for node->running_by_deadline. */
-gint dws_attempt_compare(gconstpointer a, gconstpointer b, gpointer unused);
-/* Finds a running attempt by the id given to the upstream; NULL if ended. */
-dws_attempt_t *dws_attempt_find_running(dws_node_t *node, uint64_t attempt_id);
-/* Records that the upstream makes a nested call for an attempt. */
-void dws_attempt_nested_begin(dws_node_t *node, dws_attempt_t *attempt,
-			      uint64_t request_id);
-/* Records the end of a nested call and returns its unused retry tokens. */
-void dws_attempt_nested_end(dws_node_t *node, uint64_t attempt_id,
-			    uint64_t request_id, uint32_t tokens);
-/*
- * Fences an id of another process: its attempt or submitted request is refused
- * if it arrives later. Returns false if the table is full.
- */
-bool dws_fence_add(dws_node_t *node, const dws_remote_id_t *remote);
-/* True if an id of another process is fenced. */
-bool dws_fence_has(dws_node_t *node, const dws_remote_id_t *remote);
-/* Maps the name of a kind to a stable number, used by the queues. */
-uint32_t dws_kind_id(dws_node_t *node, const char *kind);
 
 #endif
--- a/src/request/request.h
+++ b/src/request/request.h
@@ -118,6 +118,26 @@
 /* Time at which held requests are to be routed again, or DWS_NEVER_US. */
 int64_t dws_request_held_due_us(dws_node_t *node);
 
+/* retry.c: further attempts */
+/*
+ * Selects another endpoint after a refusal without execution, at once or after
+ * a backoff.
+ */
+void dws_request_reroute(dws_node_t *node, dws_request_t *request,
+			 const dws_reply_t *reply);
+/*
+ * Retries an idempotent request after its answer was lost, if the retry budget
+ * allows. The retry tokens given to the lost attempt are not recovered.
+ */
+void dws_request_retry_after_loss(dws_node_t *node, dws_request_t *request,
+				  dws_reason_t reason);
+/* Handles a lost stream; unsent: the peer received nothing. */
+void dws_request_on_stream_lost(dws_node_t *node, const dws_address_t *to,
+				bool unsent);
+/* Handles a change of a member's process or state. */
+void dws_request_on_member_changed(dws_node_t *node,
+				   const dws_member_t *member);
+
 /* completion.c: completion of requests */
 /* Handles a reply to an attempt or to a forwarded request. */
 void dws_request_on_reply(dws_node_t *node, const dws_origin_t *from,
@@ -133,12 +153,6 @@
 void dws_request_on_caller_disconnect(dws_node_t *node, uint64_t id);
 /* Cancels a nested call whose parent has ended, and answers its caller. */
 void dws_request_cancel(dws_node_t *node, uint64_t id);
-/* Handles a lost stream; unsent: the peer received nothing. */
-void dws_request_on_stream_lost(dws_node_t *node, const dws_address_t *to,
-				bool unsent);
-/* Handles a change of a member's process or state. */
-void dws_request_on_member_changed(dws_node_t *node,
-				   const dws_member_t *member);
 /* Sends the result, records it in the ledger and removes the request. */
 void dws_request_settle(dws_node_t *node, dws_request_t *request,
 			const dws_result_t *result);
--- a/test/unit/test_io_http_client.c
+++ b/test/unit/test_io_http_client.c
@@ -4,6 +4,7 @@
  * request is reported as not sent only if the upstream can't have received it.
  */
 #include "connection/http_client_io.h"
+#include "http_names.h"
 #include "io_loop.h"
 
 #define CLOSE "Connection: close\r\n"
@@ -44,15 +45,6 @@
 	"500 A\r\nContent-Length: 4\r\n\r\nnews",
 };
 
-static const dws_http_names_t names = {
-	.attempt_key_header = "X-Attempt",
-	.remaining_ms_header = "X-Remaining",
-	.caller_service_header = "X-Caller",
-	.target_instance_header = "X-Target",
-	.not_run_header = "X-Not-Run",
-	.ready_path = "/ready",
-};
-
 typedef struct upstream {
 	struct ev_loop *ev;
 	dws_address_t address;
@@ -161,9 +153,9 @@
 	ev_io_start(upstream->ev, &upstream->accept_watcher);
 	settings.upstream = upstream->address;
 	settings.platform = upstream->address;
-	CU_ASSERT_TRUE_FATAL(dws_http_client_init(&upstream->client, &ops,
-						  upstream, upstream->ev,
-						  &settings, &names, NULL));
+	CU_ASSERT_TRUE_FATAL(dws_http_client_init(
+		&upstream->client, &ops, upstream, upstream->ev, &settings,
+		&dws_platform_http_names, NULL));
 }
 
 static void stop_upstream(upstream_t *upstream)
@@ -312,14 +304,14 @@
 static void test_surplus_answer(void)
 {
 	static const char twice[] =
-		"200 A\r\nX-Attempt: a-1\r\nContent-Length: 2\r\n\r\nok"
-		"HTTP/1.1 200 A\r\nX-Attempt: a-1\r\nContent-Length: 2"
+		"200 A\r\nAttempt-Id: a-1\r\nContent-Length: 2\r\n\r\nok"
+		"HTTP/1.1 200 A\r\nAttempt-Id: a-1\r\nContent-Length: 2"
 		"\r\n\r\nok";
 	static const char *const keys[] = {"a-2", "a-3", "a-4"};
 	static const char *const answers[] = {
-		"200 A\r\nX-Attempt: a-2\r\nContent-Length: 2\r\n\r\nok",
-		"200 A\r\nX-Attempt: a-3\r\nContent-Length: 2\r\n\r\nok",
-		"200 A\r\nX-Attempt: a-4\r\nContent-Length: 2\r\n\r\nok",
+		"200 A\r\nAttempt-Id: a-2\r\nContent-Length: 2\r\n\r\nok",
+		"200 A\r\nAttempt-Id: a-3\r\nContent-Length: 2\r\n\r\nok",
+		"200 A\r\nAttempt-Id: a-4\r\nContent-Length: 2\r\n\r\nok",
 	};
 	upstream_t upstream;
 
--- a/test/unit/test_io_routed_server.c
+++ b/test/unit/test_io_routed_server.c
@@ -3,6 +3,7 @@
  * the accept queue with a complete request get an answer.
  */
 #include "connection/routed_server_io.h"
+#include "http_names.h"
 #include "io_loop.h"
 
 #define WAITING 5
@@ -14,15 +15,6 @@
 	uint64_t calls;
 } fake_owner_t;
 
-static const dws_http_names_t names = {
-	.attempt_key_header = "X-Attempt",
-	.remaining_ms_header = "X-Remaining",
-	.caller_service_header = "X-Caller",
-	.target_instance_header = "X-Target",
-	.not_run_header = "X-Not-Run",
-	.ready_path = "/ready",
-};
-
 static uint64_t on_call(void *context, const dws_call_t *call)
 {
 	return ++((fake_owner_t *)context)->calls;
@@ -63,7 +55,7 @@
 	owner->ev = ev_loop_new(0);
 	CU_ASSERT_TRUE_FATAL(dws_routed_server_init(
 		&owner->server, &ops, owner, owner->ev, &owner->counters,
-		&names, &settings, &listen, NULL));
+		&dws_platform_http_names, &settings, &listen, NULL));
 }
 
 static void stop_server(fake_owner_t *owner)
--- a/test/unit/test_node.c
+++ b/test/unit/test_node.c
@@ -543,28 +543,6 @@
 	CU_ASSERT_EQUAL(recorder->answers, 0);
 }
 
-/* Receives the executor's answer to the latest Execute message. */
-static void receive_answer(recorder_t *recorder)
-{
-	uint8_t data[256];
-	Dws__Envelope envelope = DWS__ENVELOPE__INIT;
-	Dws__Answer answer = DWS__ANSWER__INIT;
-
-	answer.id = recorder->execute_id;
-	answer.status = 200;
-	envelope.from_vm = "vm-2";
-	envelope.from_epoch = 88;
-	envelope.from_ip = "127.0.0.1";
-	envelope.from_port = 14;
-	envelope.to_epoch = 77;
-	envelope.body_case = DWS__ENVELOPE__BODY_ANSWER;
-	envelope.answer = &answer;
-	size_t size_bytes = dws__envelope__pack(&envelope, data);
-
-	CU_ASSERT_TRUE(dws_node_receive_frame(recorder->node, recorder->now_us,
-					      data, size_bytes, NULL));
-}
-
 /* Receives a reply of a peer to the latest Execute message. */
 static void receive_reply(recorder_t *recorder, char *vm_id,
 			  Dws__Outcome outcome, dws_reason_t reason)
@@ -660,7 +638,8 @@
 	dws_node_stream_lost(recorder.node, recorder.now_us, &peer, false);
 	advance_clock(&recorder, 300 * DWS_US_PER_MS);
 	CU_ASSERT_EQUAL(recorder.answers, 0);
-	receive_answer(&recorder);
+	receive_reply(&recorder, "vm-2", DWS__OUTCOME__COMPLETE,
+		      DWS_REASON_NONE);
 	CU_ASSERT_EQUAL(recorder.answers, 1);
 	CU_ASSERT_EQUAL(recorder.status, 200);
 	finish_node(&recorder);
