--- a/src/request/completion.c
+++ b/src/request/completion.c
@@ -328,8 +328,8 @@
 
 /*
  * True if a daemon refuses attempts whatever its load: it or its upstream is
- * stopping or unreachable, or serves another service. Its load report would make
- * it look idle.
+ * stopping or unreachable, or serves another service. Its load report would
+ * make it look idle.
  */
 static bool refuses_all_attempts(const dws_reply_t *reply)
 {
--- a/src/request/congestion.h
+++ b/src/request/congestion.h
@@ -1,8 +1,8 @@
 /*
- * Congestion of the services that nested calls reach: the mean wait of the calls
- * for a slot, as a part of the wait that is tolerated. It is passed up the call
- * tree with each reply, so that a daemon that receives few root requests acts on
- * the measurement of those that send many nested calls.
+ * Congestion of the services that nested calls reach: the mean wait of the
+ * calls for a slot, as a part of the wait that is tolerated. It is passed up
+ * the call tree with each reply, so that a daemon that receives few root
+ * requests acts on the measurement of those that send many nested calls.
  */
 #ifndef DWS_REQUEST_CONGESTION_H
 #define DWS_REQUEST_CONGESTION_H
--- a/src/request/queue.c
+++ b/src/request/queue.c
@@ -162,9 +162,10 @@
 }
 
 /*
- * Returns true if a kind has no nested calls, and its oldest item has waited for
- * more than 1/LIFO_DIVISOR of its time. The arrival of the newest item is taken as the
- * present time, as items arrive at short intervals during an overload.
+ * Returns true if a kind has no nested calls, and its oldest item has waited
+ * for more than 1/LIFO_DIVISOR of its time. The arrival of the newest item is
+ * taken as the present time, as items arrive at short intervals during an
+ * overload.
  */
 static bool serves_newest_first(const dws_flow_t *flow)
 {
--- a/src/request/queue.h
+++ b/src/request/queue.h
@@ -22,7 +22,7 @@
 	int64_t deadline_us;
 	int64_t latest_start_us; /* expires if not started by then; 0: none */
 	int64_t expected_us; /* expected execution time; set by admission */
-	/* Start of the root request of a nested call; 0: it is a root itself. */
+	/* Start of a nested call's root request; 0: it is a root itself. */
 	int64_t root_started_us;
 } dws_queue_item_t;
 
--- a/test/unit/test_io_http_client.c
+++ b/test/unit/test_io_http_client.c
@@ -50,8 +50,7 @@
 	dws_address_t address;
 	ev_io accept_watcher;
 	ev_io read_watchers[CONNECTIONS_MAX];
-	uint32_t
-		batch; /* requests that are answered together; 0: each at once */
+	uint32_t batch; /* requests answered together; 0: each at once */
 	uint32_t connections;
 	uint32_t requests;
 	const char *answer;
--- a/test/unit/test_load_fan_out.c
+++ b/test/unit/test_load_fan_out.c
@@ -23,7 +23,7 @@
 #define STEP_US (1 * DWS_US_PER_MS)
 /* Part of the roots that the slots could serve that is to be reached. */
 #define MIN_GOODPUT 0.95
-/* Admitted roots that may fail in a lasting overload, for each that is served. */
+/* Admitted roots that may fail in an overload, for each that is served. */
 #define MAX_WASTE 0.05
 #define ROUTE "tree"
 #define SCARCE "scarce"
--- a/test/unit/test_node.c
+++ b/test/unit/test_node.c
@@ -573,9 +573,9 @@
 }
 
 /*
- * Load pattern "a server that refuses at once": it looks idle and fast, but each
- * call to it is wasted. Calls that met it are answered elsewhere, and it gets
- * few further ones.
+ * Load pattern "a server that refuses at once": it looks idle and fast, but
+ * each call to it is wasted. Calls that met it are answered elsewhere, and it
+ * gets few further ones.
  */
 static void check_refusing_server(dws_reason_t reason)
 {
