Say in the tool what the outcome means, find traces by ids in capitals

why said that a request with the reason deadline may have run though its outcome was not-run, and the reverse for overload; the sentence now follows the outcome. trace did not find an id in capitals. The soak refuses a negative seed, with which it ran nothing and succeeded.

--- a/src/tool/trace.c
+++ b/src/tool/trace.c
@@ -23,7 +23,7 @@
 	GPtrArray *spans; /* owned dws_trace_span_t *, in input order */
 	GHashTable *by_parent; /* parent id to GPtrArray of spans, not owned */
 	GHashTable *ids; /* set of span ids, not owned */
-	const char *trace_id; /* of the requested trace */
+	char *trace_id; /* of the requested trace, in lower case as in logs */
 } dws_trace_t;
 
 static void free_span(void *data)
@@ -79,7 +79,7 @@
 	span->id = get_field(span, "span");
 	span->parent = get_field(span, "parent");
 	if (strcmp(get_field(span, "event"), "span") != 0 ||
-	    g_ascii_strcasecmp(get_field(span, "trace"), trace_id) != 0)
+	    strcmp(get_field(span, "trace"), trace_id) != 0)
 		free_span(span);
 	else
 		add_span(trace, span);
@@ -149,7 +149,7 @@
 		.by_parent = g_hash_table_new_full(g_str_hash, g_str_equal,
 						   NULL, free_children),
 		.ids = g_hash_table_new(g_str_hash, g_str_equal),
-		.trace_id = argv[0],
+		.trace_id = g_ascii_strdown(argv[0], -1),
 	};
 	dws_exit_code_t code = DWS_EXIT_OK;
 	GError *error = NULL;
@@ -167,6 +167,7 @@
 	} else {
 		print_trace(&trace);
 	}
+	g_free(trace.trace_id);
 	g_hash_table_unref(trace.ids);
 	g_hash_table_unref(trace.by_parent);
 	g_ptr_array_unref(trace.spans);
--- a/src/tool/why.c
+++ b/src/tool/why.c
@@ -15,26 +15,19 @@
 } dws_explanation_t;
 
 static const dws_explanation_t explanations[] = {
-	{"overload", "it did not run: no upstream of the service had room "
-		     "within its queue time"},
-	{"crowded-below", "it did not run: a service that it calls was "
-			  "overloaded, so only a share of its kind was "
-			  "admitted"},
-	{"upstream-shed", "it did not run: the upstreams that it was sent to "
-			  "shed it"},
-	{"no-endpoint", "it did not run: no daemon of the service was "
-			"reachable"},
-	{"draining", "it did not run: the daemon or its upstream was shutting "
-		     "down"},
-	{"starting", "it did not run: the daemon had no configuration yet"},
-	{"misdirected", "it did not run: the address had been reassigned to "
-			"another upstream"},
-	{"no-route", "it did not run: no route of the configuration version in "
-		     "force matches it"},
-	{"deadline", "its deadline passed before a response arrived; it may "
-		     "have run"},
-	{"upstream-lost", "it was sent but the response was lost; it may have "
-			  "run"},
+	{"overload",
+	 "no upstream of the service had room within its queue time"},
+	{"crowded-below", "a service that it calls was overloaded, so only a "
+			  "share of its kind was admitted"},
+	{"upstream-shed", "the upstreams that it was sent to shed it"},
+	{"no-endpoint", "no daemon of the service was reachable"},
+	{"draining", "the daemon or its upstream was shutting down"},
+	{"starting", "the daemon had no configuration yet"},
+	{"misdirected", "the address had been reassigned to another upstream"},
+	{"no-route",
+	 "no route of the configuration version in force matches it"},
+	{"deadline", "its deadline passed before a response arrived"},
+	{"upstream-lost", "it was sent but the response was lost"},
 	{"cancelled", "its caller closed the connection"},
 	{"none", "the upstream responded"},
 };
@@ -99,6 +92,14 @@
 	g_hash_table_unref(fields);
 }
 
+/* What the outcome says about the execution of a request. */
+static const char *execution_text(const char *outcome)
+{
+	if (strcmp(outcome, "not-run") == 0)
+		return "it did not run: ";
+	return strcmp(outcome, "unknown") == 0 ? "it may have run: " : "";
+}
+
 static void print_cause(GHashTable *fields)
 {
 	const char *reason = dws_log_line_get(fields, "reason");
@@ -109,8 +110,9 @@
 		if (strcmp(explanations[i].reason, reason) == 0)
 			text = explanations[i].text;
 	}
-	printf("cause: %s (reason %s, status %s)", text, reason,
-	       dws_log_line_get(fields, "status"));
+	printf("cause: %s%s (reason %s, status %s)",
+	       execution_text(dws_log_line_get(fields, "outcome")), text,
+	       reason, dws_log_line_get(fields, "status"));
 	if (crowded[0])
 		printf("; service %s delayed or refused its nested calls",
 		       crowded);
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -109,7 +109,7 @@
 	poptContext context = poptGetContext(NULL, argc, argv, options, 0);
 
 	if (poptGetNextOpt(context) < -1 || vms < MIN_VMS ||
-	    vms > PLATFORM_MAX_VMS || seeds < 1 || seconds < 1) {
+	    vms > PLATFORM_MAX_VMS || seed < 0 || seeds < 1 || seconds < 1) {
 		fprintf(stderr,
 			"soak: bad option or value out of range (VMs: %d to "
 			"%d); see --help\n",
--- a/test/unit/test_tool.c
+++ b/test/unit/test_tool.c
@@ -33,6 +33,11 @@
 	{"log2",
 	 SPAN_EVENT "span=c parent=b name=nested duration_us=9\n" SPAN_EVENT
 		    "span=b parent=a name=execute duration_us=1000\n"},
+	{"log3", SPAN_EVENT
+	 "name=entry id=id-1 outcome=not-run reason=deadline\n" SPAN_EVENT
+	 "name=entry id=id-2 outcome=unknown reason=deadline\n" SPAN_EVENT
+	 "name=entry id=id-3 outcome=unknown reason=overload\n" SPAN_EVENT
+	 "name=entry id=id-4 outcome=complete reason=none\n"},
 };
 
 static const char *const responses[][2] = {
@@ -132,6 +137,13 @@
 		 "entry  vm=v  status= 1.500 ms (queued 0.000 ms)\n"
 		 "  execute  vm=  status= 1.000 ms (queued 0.000 ms)\n"
 		 "    nested  vm="},
+		{"trace 4BF92F3577B34DA6A3CE929D0E0E4736 log1 log2", 0,
+		 "entry  vm=v  status= 1.500 ms"},
+		{"why id-1 log3", 0,
+		 "cause: it did not run: its deadline passed"},
+		{"why id-2 log3", 0, "cause: it may have run: its deadline"},
+		{"why id-3 log3", 0, "cause: it may have run: no upstream"},
+		{"why id-4 log3", 0, "cause: the upstream responded"},
 		{"trace abc log1", 1, ""},
 		{"trace " TRACE_ID " none", 2, ""},
 		{"", 2, ""},
