--- a/test/failure/odd_input.c
+++ b/test/failure/odd_input.c
@@ -11,6 +11,14 @@
 #include "support/suite.h"
 
 #define DEEP_LEVELS 200000
+#define LARGE_ENTRIES 5
+#define LARGE_ENTRY_BYTES (1000 * 1000)
+/* A rule for the paths below /new/. */
+#define NEW_RULE(service)                                                      \
+	",{\"name\":\"new\",\"kind\":\"idempotent\",\"priority\":1,"           \
+	"\"target_latency\":\"1s\",\"match\":{\"prefix\":\"/new/\"},"          \
+	"\"action\":{\"service\":\"" service                                   \
+	"\",\"timeout\":\"4s\",\"attempts\":1}}"
 #define MEMORY_MB 64
 #define ENDLESS_REQUESTS 6
 #define CHUNK_BYTES 16384
@@ -201,11 +209,7 @@
 	put_odd_entries(platform);
 	for (int i = 0; i < 20; i++)
 		CU_ASSERT_EQUAL(status_of(&platform->vms[i % 2], "/w/a"), 200);
-	write_rules(platform, 4,
-		    ",{\"name\":\"new\",\"kind\":\"idempotent\","
-		    "\"priority\":1,\"target_latency\":\"1s\","
-		    "\"match\":{\"prefix\":\"/new/\"},\"action\":"
-		    "{\"service\":\"pay\",\"timeout\":\"4s\",\"attempts\":1}}");
+	write_rules(platform, 4, NEW_RULE("pay"));
 	platform_start_daemon(platform_add_vm(platform, "pay"));
 	CU_ASSERT_TRUE_FATAL(platform_await_ready(&platform->vms[2]));
 	CU_ASSERT_TRUE(platform_await(is_new_upstream_used, platform));
@@ -219,6 +223,38 @@
 	platform_stop(platform);
 }
 
+static bool is_new_route_known(void *context)
+{
+	return status_of(context, "/new/a") == 200;
+}
+
+/*
+ * While the store is down, another writer leaves more than a watch's answer may
+ * hold. The daemons then read all pages anew, and follow the store.
+ */
+static void test_large_entries(void)
+{
+	platform_t *platform = start_site(NULL);
+	char *value = g_strnfill(LARGE_ENTRY_BYTES, 'x');
+
+	platform_set_mode(platform, STORE_DOWN);
+	for (int i = 0; i < LARGE_ENTRIES; i++) {
+		char *key = g_strdup_printf("servers/large-%d", i);
+
+		platform_put(platform, key, value);
+		g_free(key);
+	}
+	write_rules(platform, 4, NEW_RULE("web"));
+	platform_set_mode(platform, STORE_AVAILABLE);
+	for (int i = 0; i < 2; i++) {
+		CU_ASSERT_TRUE(
+			platform_await(is_new_route_known, &platform->vms[i]));
+		CU_ASSERT_TRUE(is_alive(&platform->vms[i]));
+	}
+	platform_stop(platform);
+	g_free(value);
+}
+
 /* The peak of a process's resident memory in MB. */
 static long peak_memory_mb(GPid process)
 {
@@ -298,6 +334,7 @@
 {
 	static const suite_test_t tests[] = {
 		{"odd entries", test_odd_entries},
+		{"large entries", test_large_entries},
 		{"answers without end", test_answers_without_end},
 		{NULL, NULL},
 	};
--- a/test/support/platform.c
+++ b/test/support/platform.c
@@ -20,6 +20,8 @@
 #define EXCHANGE_TIMEOUT_MS 20000
 #define HEAD_MAX_BYTES 16384
 #define UPSTREAM_SLOTS 8
+/* Size from which a page of the store ends. */
+#define PAGE_BYTES (1024 * 1024)
 
 typedef struct store_item {
 	char *key;
@@ -139,45 +141,75 @@
 	platform_send(fd, text, strlen(text));
 }
 
-/* Appends the latest change of each key, newest change first. */
-static void append_items(GString *json, const platform_t *platform,
-			 uint64_t after, bool with_removed)
+/* Appends an item or its removal to a JSON list. */
+static void append_item(GString *json, const store_item_t *item)
+{
+	if (json->str[json->len - 1] != '[')
+		g_string_append_c(json, ',');
+	if (!item->value) {
+		g_string_append_printf(
+			json, "{\"key\":\"%s\",\"rev\":%lu,\"removed\":true}",
+			item->key, (unsigned long)item->revision);
+		return;
+	}
+	char *value = g_base64_encode((const guchar *)item->value,
+				      strlen(item->value));
+
+	g_string_append_printf(json,
+			       "{\"key\":\"%s\",\"value\":\"%s\","
+			       "\"rev\":%lu,\"created\":%lu,"
+			       "\"lease\":0}",
+			       item->key, value, (unsigned long)item->revision,
+			       (unsigned long)item->revision);
+	g_free(value);
+}
+
+/* Appends the latest change of each key after a revision, newest first. */
+static void append_events(GString *json, const platform_t *platform,
+			  uint64_t after)
 {
 	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
-	bool has_items = false;
 
 	for (guint i = platform->items->len; i > 0; i--) {
 		const store_item_t *item = platform->items->pdata[i - 1];
 
-		if (!g_hash_table_add(seen, item->key) ||
-		    item->revision <= after || (!item->value && !with_removed))
-			continue;
-		if (has_items)
-			g_string_append_c(json, ',');
-		has_items = true;
-		if (!item->value) {
-			g_string_append_printf(json,
-					       "{\"key\":\"%s\",\"rev\":%lu,"
-					       "\"removed\":true}",
-					       item->key,
-					       (unsigned long)item->revision);
-			continue;
-		}
-		char *value = g_base64_encode((const guchar *)item->value,
-					      strlen(item->value));
-
-		g_string_append_printf(json,
-				       "{\"key\":\"%s\",\"value\":\"%s\","
-				       "\"rev\":%lu,\"created\":%lu,"
-				       "\"lease\":0}",
-				       item->key, value,
-				       (unsigned long)item->revision,
-				       (unsigned long)item->revision);
-		g_free(value);
+		if (g_hash_table_add(seen, item->key) && item->revision > after)
+			append_item(json, item);
 	}
 	g_hash_table_destroy(seen);
 }
 
+static gint compare_keys(gconstpointer a, gconstpointer b)
+{
+	return strcmp((*(store_item_t *const *)a)->key,
+		      (*(store_item_t *const *)b)->key);
+}
+
+/* Appends a page of the items after a key; returns whether more follow. */
+static bool append_page(GString *json, const platform_t *platform,
+			const char *after_key)
+{
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+	GPtrArray *items = g_ptr_array_new();
+	guint count = 0;
+
+	for (guint i = platform->items->len; i > 0; i--) {
+		store_item_t *item = platform->items->pdata[i - 1];
+
+		if (g_hash_table_add(seen, item->key) && item->value &&
+		    strcmp(item->key, after_key) > 0)
+			g_ptr_array_add(items, item);
+	}
+	g_ptr_array_sort(items, compare_keys);
+	while (count < items->len && json->len < PAGE_BYTES)
+		append_item(json, items->pdata[count++]);
+	bool has_more = count < items->len;
+
+	g_ptr_array_free(items, TRUE);
+	g_hash_table_destroy(seen);
+	return has_more;
+}
+
 /*
  * Waits until the store has a change after the revision, the revision is
  * compacted, the mode changes or the time is over. The caller holds the lock.
@@ -206,6 +238,24 @@
 	return number;
 }
 
+/* Returns a query parameter's text, freed with g_free(); "" if absent. */
+static char *query_text(const char *head, const char *name)
+{
+	char *prefix = g_strdup_printf("%s=", name);
+	const char *at = strstr(head, prefix);
+	char *escaped = NULL;
+
+	if (at) {
+		at += strlen(prefix);
+		escaped = g_strndup(at, strcspn(at, "& "));
+	}
+	char *text = g_uri_unescape_string(escaped ? escaped : "", NULL);
+
+	g_free(escaped);
+	g_free(prefix);
+	return text;
+}
+
 /*
  * Returns the body of the answer; NULL if the watched revision has been
  * compacted, which the caller answers with 410.
@@ -213,6 +263,7 @@
 static char *answer_store(platform_t *platform, const char *head)
 {
 	bool is_watch = strstr(head, "/v1/kv-watch") != NULL;
+	bool has_more = false;
 	uint64_t after = (uint64_t)query_number(head, "&after");
 	GString *json = g_string_new(NULL);
 
@@ -224,8 +275,16 @@
 		return NULL;
 	}
 	g_string_append(json, is_watch ? "{\"events\":[" : "{\"items\":[");
-	append_items(json, platform, is_watch ? after : 0, is_watch);
-	g_string_append_printf(json, "],\"has_more\":false,\"at_rev\":%lu}",
+	if (is_watch) {
+		append_events(json, platform, after);
+	} else {
+		char *after_key = query_text(head, "&after");
+
+		has_more = append_page(json, platform, after_key);
+		g_free(after_key);
+	}
+	g_string_append_printf(json, "],\"has_more\":%s,\"at_rev\":%lu}",
+			       has_more ? "true" : "false",
 			       (unsigned long)platform->revision);
 	return g_string_free(json, FALSE);
 }
