Keep waiting for an attempt that a lost stream has delivered

Cause: after a stream broke with an attempt delivered and no repeat allowed, the request waits for its answer. A new stream to the same peer that couldn't be opened was then taken for an attempt never sent, and another upstream ran the request too, one more than its route allows (soak seed 2604, from the log of the caller's daemon: stream_lost unsent=0, then unsent=1 for one peer within 15 ms). Change: such a request is marked as possibly delivered. Result: test_node, broken stream, fails first (2 assertions) and passes; the seed joins the regression seeds.

--- a/src/request/retry.c
+++ b/src/request/retry.c
@@ -122,9 +122,11 @@
 
 	if (request->state == DWS_REQUEST_SENT && request->kind.idempotent) {
 		request->may_have_run = true;
-		/* The answer may still arrive on the peer's own stream. */
-		if (!take_retry(node, request))
+		if (!take_retry(node, request)) {
+			/* The answer may still come on the peer's stream. */
+			request->may_be_delivered = true;
 			return;
+		}
 		dws_routing_report_response(node->routing, node->now_us,
 					    request->target_vm, NULL);
 		request->state = DWS_REQUEST_DELAYED;
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -33,6 +33,8 @@
 	 "a stream between daemons stopped delivering data undetected"},
 	{150, DEFAULT_VMS, DEFAULT_SECONDS,
 	 "a daemon exited on a reload signal sent while it was starting"},
+	{2604, DEFAULT_VMS, 8,
+	 "an attempt delivered by a lost stream was taken for never sent"},
 };
 
 /* Removes the log directory of a run without violations. */
--- a/test/unit/test_node.c
+++ b/test/unit/test_node.c
@@ -638,6 +638,13 @@
 	dws_node_stream_lost(recorder.node, recorder.now_us, &peer, false);
 	advance_clock(&recorder, 300 * DWS_US_PER_MS);
 	CU_ASSERT_EQUAL(recorder.answers, 0);
+	/*
+	 * A new stream to the same peer that can't be opened says nothing about
+	 * what the broken one has delivered: no other endpoint may be tried.
+	 */
+	dws_node_stream_lost(recorder.node, recorder.now_us, &peer, true);
+	CU_ASSERT_EQUAL(recorder.executes, 1);
+	CU_ASSERT_EQUAL(recorder.answers, 0);
 	receive_reply(&recorder, "vm-2", DWS__OUTCOME__COMPLETE,
 		      DWS_REASON_NONE);
 	CU_ASSERT_EQUAL(recorder.answers, 1);
