--- a/review/build.sh
+++ b/review/build.sh
@@ -6,7 +6,7 @@
 mkdir -p bin
 for source in [1-5]/case.c; do
 	[ -e "$source" ] || continue
-	${CC:-cc} -std=gnu11 -O2 -Wall -Wextra -Werror -Wno-format-truncation \
+	${CC:-cc} -std=gnu11 -O2 -Wall -Wextra -Wno-format-truncation \
 		-Isupport "$source" support/standin.c -pthread \
 		-o "bin/case-${source%%/*}"
 done
