--- a/review/support/standin.c
+++ b/review/standin.c
@@ -680,7 +680,7 @@
 
 	vm->number = site.vm_count;
 	vm->handler = handler;
-	snprintf(vm->ip, sizeof(vm->ip), "%.24s.%d", site.base_ip, vm->number);
+	snprintf(vm->ip, sizeof(vm->ip), "%s.%d", site.base_ip, vm->number);
 	snprintf(vm->service, sizeof(vm->service), "%s", service);
 	snprintf(vm->zone, sizeof(vm->zone), "%s", zone);
 	snprintf(vm->upstream_id, sizeof(vm->upstream_id), "i-%04d",
--- a/review/support/standin.h
+++ b/review/standin.h
@@ -42,7 +42,7 @@
 
 struct vm {
 	int number;
-	char ip[32];
+	char ip[64];
 	char service[32];
 	char zone[32];
 	char upstream_id[64];
