Review, case 3: the upstream closes its port when it exits

Cause: the stand-in of the upstream went on taking connections after its exit and closed them, so that some of the 502 were its own.

--- a/review/standin.c
+++ b/review/standin.c
@@ -519,6 +519,35 @@
 	return true;
 }
 
+/* Adds or removes a connection, for vm_exit_upstream(). */
+static void replace_connection(vm_t *vm, int from, int to)
+{
+	pthread_mutex_lock(&site.lock);
+	for (int i = 0; i < CONNECTIONS_MAX; i++) {
+		if (vm->connections[i] != from)
+			continue;
+		vm->connections[i] = to;
+		break;
+	}
+	pthread_mutex_unlock(&site.lock);
+}
+
+void vm_exit_upstream(vm_t *vm)
+{
+	int listener = vm->listener;
+
+	vm->listener = -1;
+	shutdown(listener, SHUT_RDWR);
+	close(listener);
+	pthread_mutex_lock(&site.lock);
+	for (int i = 0; i < CONNECTIONS_MAX; i++) {
+		if (vm->connections[i] > 0)
+			shutdown(vm->connections[i], SHUT_RDWR);
+	}
+	pthread_mutex_unlock(&site.lock);
+	record("upstream %d: exits", vm->number);
+}
+
 static void *serve_upstream(void *data)
 {
 	upstream_connection_t *connection = data;
@@ -546,23 +575,19 @@
 			break;
 		is_open = connection->vm->handler(request);
 	}
+	replace_connection(connection->vm, connection->fd, 0);
 	close(connection->fd);
 	free(request);
 	free(connection);
 	return NULL;
 }
 
-typedef struct upstream_listener {
-	vm_t *vm;
-	int fd;
-} upstream_listener_t;
-
 static void *accept_upstream(void *data)
 {
-	upstream_listener_t *listener = data;
+	vm_t *vm = data;
 
-	for (;;) {
-		int fd = accept4(listener->fd, NULL, NULL, SOCK_CLOEXEC);
+	while (vm->listener >= 0) {
+		int fd = accept4(vm->listener, NULL, NULL, SOCK_CLOEXEC);
 		int on = 1;
 
 		if (fd < 0)
@@ -571,8 +596,9 @@
 			calloc(1, sizeof(*connection));
 
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-		connection->vm = listener->vm;
+		connection->vm = vm;
 		connection->fd = fd;
+		replace_connection(vm, 0, fd);
 		pthread_detach(run_thread(serve_upstream, connection));
 	}
 	return NULL;
@@ -676,7 +702,6 @@
 	       upstream_handler_t handler)
 {
 	vm_t *vm = &site.vms[site.vm_count++];
-	upstream_listener_t *listener = calloc(1, sizeof(*listener));
 
 	vm->number = site.vm_count;
 	vm->handler = handler;
@@ -685,9 +710,8 @@
 	snprintf(vm->zone, sizeof(vm->zone), "%s", zone);
 	snprintf(vm->upstream_id, sizeof(vm->upstream_id), "i-%04d",
 		 vm->number);
-	listener->vm = vm;
-	listener->fd = listen_on(vm->ip, site.upstream_port);
-	pthread_detach(run_thread(accept_upstream, listener));
+	vm->listener = listen_on(vm->ip, site.upstream_port);
+	pthread_detach(run_thread(accept_upstream, vm));
 	site_put_entry(vm, "ready");
 	return vm;
 }
--- a/review/standin.h
+++ b/review/standin.h
@@ -16,6 +16,7 @@
 
 #define VMS_MAX 8
 #define ITEMS_MAX 256
+#define CONNECTIONS_MAX 1024
 #define HEAD_MAX_BYTES 16384
 #define EXIT_HELD 0
 #define EXIT_BROKEN 1
@@ -49,6 +50,8 @@
 	pid_t pid; /* of the daemon; 0 if it does not run */
 	upstream_handler_t handler;
 	bool leaves_body; /* the handler reads the body by itself */
+	int listener; /* of the upstream; -1 once it has exited */
+	int connections[CONNECTIONS_MAX]; /* of the upstream; 0: free */
 };
 
 typedef struct store_item {
@@ -102,6 +105,8 @@
 /* Adds a VM, starts its upstream and writes its entry to the store. */
 vm_t *site_add(const char *service, const char *zone,
 	       upstream_handler_t handler);
+/* Ends a VM's upstream: closes its listener and all its connections. */
+void vm_exit_upstream(vm_t *vm);
 /* Writes the entry of a VM's upstream with a state. */
 void site_put_entry(const vm_t *vm, const char *state);
 /* Writes or, if value is NULL, removes an item of the store. */
