--- a/review/1/case.c
+++ b/review/1/case.c
@@ -34,6 +34,7 @@
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static int run_count;
+static int faulty_run_count; /* at the faulty upstream */
 static int broken_count;
 static int answer_count;
 static int success_count;
@@ -45,13 +46,15 @@
 {
 	char head[1024];
 	char signature[512];
+	bool is_faulty = request->vm->number == 2;
 	bool breaks;
 	bool has_signature;
 
 	pthread_mutex_lock(&lock);
 	run_count++;
-	breaks = site.has_trouble && request->vm->number == 2 &&
-		 run_count % BROKEN_DIVISOR == 0;
+	faulty_run_count += is_faulty;
+	breaks = site.has_trouble && is_faulty &&
+		 faulty_run_count % BROKEN_DIVISOR == 0;
 	broken_count += breaks;
 	has_signature = broken_count % 2 == 0;
 	pthread_mutex_unlock(&lock);
@@ -161,14 +164,16 @@
 	is_over = true;
 	for (int i = 0; i < CALLERS; i++)
 		pthread_join(threads[i], NULL);
-	record("%d runs, %d answers broken off, %d answers, %d successes, "
+	record("%d runs, %d at the faulty upstream, %d answers broken off, %d "
+	       "answers, %d successes, "
 	       "%d of them wrong",
-	       run_count, broken_count, answer_count, success_count,
-	       wrong_count);
-	printf("%d runs, %d answers broken off, %d answers, %d successes, "
+	       run_count, faulty_run_count, broken_count, answer_count,
+	       success_count, wrong_count);
+	printf("%d runs, %d at the faulty upstream, %d answers broken off, %d "
+	       "answers, %d successes, "
 	       "%d of them wrong\n",
-	       run_count, broken_count, answer_count, success_count,
-	       wrong_count);
+	       run_count, faulty_run_count, broken_count, answer_count,
+	       success_count, wrong_count);
 	status = wrong_count > 0 ? EXIT_BROKEN : EXIT_HELD;
 	if (success_count == 0 || (site.has_trouble && broken_count == 0))
 		status = EXIT_NOT_RUN;
