Log why the answer of an upstream is lost

Cause: a routed request whose answer can't be used ended as upstream-lost whatever had happened: a closed connection, a cut body, another request's answer or a refusal without its marker. Hypotheses about an answer that reaches its caller in a wrong form could not be told apart by the logs.

Change: the client returns the cause of each loss, the daemon logs it as event=answer_lost with the request's id, and "dogwoodshift why" shows it.

Measured: test_io_http_client checks the cause of each of its cases, platform "why" finds it by the id; both pass.

--- a/include/dogwoodshift.h
+++ b/include/dogwoodshift.h
@@ -190,9 +190,23 @@
 	DWS_DISPATCH_LOST, /* sent, without a complete response */
 } dws_dispatch_result_t;
 
+/* Why the answer of a dispatch is lost. */
+typedef enum dws_loss {
+	DWS_LOSS_NONE,
+	DWS_LOSS_CONNECTION, /* it failed, or what came is not HTTP */
+	DWS_LOSS_TIMEOUT, /* no whole answer in time */
+	DWS_LOSS_BODY_CUT, /* the connection ended within the body */
+	DWS_LOSS_TOO_LARGE, /* a limit on the head or the body was exceeded */
+	DWS_LOSS_OTHER_REQUEST, /* the answer names another request */
+	DWS_LOSS_UNFRAMED, /* nothing tells where the body ends */
+	DWS_LOSS_UNCERTAIN, /* it doesn't tell whether the request has run */
+	DWS_LOSS_COUNT
+} dws_loss_t;
+
 /* The result of a dispatch. Memory belongs to the driver. */
 typedef struct dws_dispatch_outcome {
 	dws_dispatch_result_t result;
+	dws_loss_t loss; /* if lost, else DWS_LOSS_NONE */
 	uint16_t status; /* HTTP status */
 	const char *content_type;
 	const uint8_t *body;
@@ -301,6 +315,7 @@
 const char *dws_error_name(dws_error_t error);
 const char *dws_outcome_name(dws_outcome_t outcome);
 const char *dws_reason_name(dws_reason_t reason);
+const char *dws_loss_name(dws_loss_t loss);
 
 /*
  * Returns the size of dws_node_t, so that the caller can allocate it. The
--- a/src/connection/http_answer_io.c
+++ b/src/connection/http_answer_io.c
@@ -64,7 +64,7 @@
 	size_t size_bytes = size * count;
 
 	if (!has_room(answer, size_bytes)) {
-		answer->is_too_large = true;
+		answer->abort_cause = DWS_LOSS_TOO_LARGE;
 		return 0;
 	}
 	g_byte_array_append(answer->body, (const guint8 *)data,
@@ -145,7 +145,7 @@
 
 	answer->head_bytes += size_bytes;
 	if (answer->head_bytes > HEAD_MAX_BYTES) {
-		answer->is_too_large = true;
+		answer->abort_cause = DWS_LOSS_TOO_LARGE;
 		return 0;
 	}
 	if (size_bytes >= 5 && memcmp(data, "HTTP/", 5) == 0) {
@@ -153,8 +153,10 @@
 		return size_bytes;
 	}
 	if (answer->http_names) {
-		if (is_mismatch(answer, data, size_bytes))
+		if (is_mismatch(answer, data, size_bytes)) {
+			answer->abort_cause = DWS_LOSS_OTHER_REQUEST;
 			return 0;
+		}
 		collect_routed_header(answer, data, size_bytes);
 	}
 	if (is_header(data, size_bytes, "Transfer-Encoding", "chunked"))
@@ -184,20 +186,44 @@
 	return length >= 0;
 }
 
-bool dws_http_answer_is_usable(const dws_http_answer_t *answer, CURL *easy,
-			       long status, uint32_t send_count)
+/* The loss of an answer whose transfer failed. */
+static dws_loss_t transfer_loss(const dws_http_answer_t *answer, CURLcode code)
 {
-	bool means_not_run = status == STATUS_TIMEOUT ||
-			     status == STATUS_TOO_MANY ||
-			     status == STATUS_UNAVAILABLE;
+	if (answer->abort_cause != DWS_LOSS_NONE)
+		return answer->abort_cause;
+	if (code == CURLE_OPERATION_TIMEDOUT)
+		return DWS_LOSS_TIMEOUT;
+	if (code == CURLE_PARTIAL_FILE)
+		return DWS_LOSS_BODY_CUT;
+	return DWS_LOSS_CONNECTION;
+}
+
+/* True for answers that tell the caller that its request did not run. */
+static bool means_not_run(long status)
+{
+	return status == STATUS_TIMEOUT || status == STATUS_TOO_MANY ||
+	       status == STATUS_UNAVAILABLE;
+}
 
+dws_loss_t dws_http_answer_loss(const dws_http_answer_t *answer, CURL *easy,
+				CURLcode code, uint32_t send_count)
+{
+	long status = 0;
+
+	if (code != CURLE_OK)
+		return transfer_loss(answer, code);
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 	if (status < STATUS_FIRST_FINAL)
-		return false;
+		return DWS_LOSS_CONNECTION;
 	/* This may answer a resent copy, while the first copy has run. */
 	if (send_count > 1 &&
 	    (answer->has_not_run_header || status == STATUS_MISDIRECTED))
-		return false;
+		return DWS_LOSS_UNCERTAIN;
 	if (!answer->http_names)
-		return dws_http_answer_is_delimited(answer, easy, status);
-	return !means_not_run || answer->has_not_run_header;
+		return dws_http_answer_is_delimited(answer, easy, status)
+			       ? DWS_LOSS_NONE
+			       : DWS_LOSS_UNFRAMED;
+	if (means_not_run(status) && !answer->has_not_run_header)
+		return DWS_LOSS_UNCERTAIN;
+	return DWS_LOSS_NONE;
 }
--- a/src/connection/http_answer_io.h
+++ b/src/connection/http_answer_io.h
@@ -13,6 +13,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 #include "connection/http_names.h"
+#include "dogwoodshift.h"
 
 /* Memory that the bodies of the answers being received share. */
 typedef struct dws_answer_quota {
@@ -32,7 +33,7 @@
 	bool is_head_request; /* the answer has no body */
 	bool is_chunked;
 	bool has_not_run_header;
-	bool is_too_large; /* the transfer was aborted for its size */
+	dws_loss_t abort_cause; /* why the transfer was aborted, or NONE */
 } dws_http_answer_t;
 
 /* Initializes an answer; names and key only for a routed request, else NULL. */
@@ -51,13 +52,14 @@
 bool dws_http_answer_is_delimited(const dws_http_answer_t *answer, CURL *easy,
 				  long status);
 /*
- * True if a completed answer is usable for its request, which was sent
- * send_count times. A routed answer may be delimited by the end of its
- * connection. To the caller of a routed request, 408, 429 and 503 mean that the
- * request did not run; such an answer is forwarded only if the upstream
- * confirms this by its not-run header.
+ * Returns why an answer is lost, given the result of its transfer, or
+ * DWS_LOSS_NONE if it can be passed on. Its request was sent send_count times.
+ * A routed answer may be delimited by the end of its connection. To the caller
+ * of a routed request, 408, 429 and 503 mean that the request did not run; such
+ * an answer is passed on only if the upstream confirms this by its not-run
+ * header.
  */
-bool dws_http_answer_is_usable(const dws_http_answer_t *answer, CURL *easy,
-			       long status, uint32_t send_count);
+dws_loss_t dws_http_answer_loss(const dws_http_answer_t *answer, CURL *easy,
+				CURLcode code, uint32_t send_count);
 
 #endif
--- a/src/connection/http_client_io.c
+++ b/src/connection/http_client_io.c
@@ -412,33 +412,43 @@
 	return code == CURLE_OPERATION_TIMEDOUT && request_bytes == 0;
 }
 
-static void report_dispatch(const transfer_t *transfer, CURLcode code)
+/* Fills in the outcome of a whole answer. */
+static void describe_answer(const transfer_t *transfer,
+			    dws_dispatch_outcome_t *outcome)
 {
-	dws_http_client_t *client = transfer->client;
 	const dws_http_answer_t *answer = &transfer->answer;
 	bool is_routed = answer->http_names != NULL;
-	dws_dispatch_outcome_t outcome = {.result = DWS_DISPATCH_LOST};
+	char *type = NULL;
 	long status = 0;
 
 	curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (code != CURLE_OK) {
-		if (is_unsent(transfer, code))
-			outcome.result = DWS_DISPATCH_NOT_SENT;
-	} else if (dws_http_answer_is_usable(answer, transfer->easy, status,
-					     transfer->send_count)) {
-		char *type = NULL;
-
-		curl_easy_getinfo(transfer->easy, CURLINFO_CONTENT_TYPE, &type);
-		outcome.result = DWS_DISPATCH_ANSWERED;
-		outcome.status = (uint16_t)status;
-		outcome.content_type = type;
-		if (answer->headers)
-			outcome.headers = answer->headers->str;
-		outcome.body = answer->body->data;
-		outcome.body_size_bytes = answer->body->len;
-		outcome.not_run = answer->has_not_run_header &&
-				  (is_routed || status == STATUS_UNAVAILABLE);
-		outcome.misdirected = is_routed && status == STATUS_MISDIRECTED;
+	curl_easy_getinfo(transfer->easy, CURLINFO_CONTENT_TYPE, &type);
+	outcome->result = DWS_DISPATCH_ANSWERED;
+	outcome->status = (uint16_t)status;
+	outcome->content_type = type;
+	if (answer->headers)
+		outcome->headers = answer->headers->str;
+	outcome->body = answer->body->data;
+	outcome->body_size_bytes = answer->body->len;
+	outcome->not_run = answer->has_not_run_header &&
+			   (is_routed || status == STATUS_UNAVAILABLE);
+	outcome->misdirected = is_routed && status == STATUS_MISDIRECTED;
+}
+
+static void report_dispatch(const transfer_t *transfer, CURLcode code)
+{
+	dws_http_client_t *client = transfer->client;
+	dws_dispatch_outcome_t outcome = {0};
+
+	outcome.loss = dws_http_answer_loss(&transfer->answer, transfer->easy,
+					    code, transfer->send_count);
+	if (is_unsent(transfer, code)) {
+		outcome.result = DWS_DISPATCH_NOT_SENT;
+		outcome.loss = DWS_LOSS_NONE;
+	} else if (outcome.loss != DWS_LOSS_NONE) {
+		outcome.result = DWS_DISPATCH_LOST;
+	} else {
+		describe_answer(transfer, &outcome);
 	}
 	client->ops->dispatch_finished(client->context, transfer->attempt_id,
 				       &outcome);
@@ -450,7 +460,7 @@
 	long status = 0;
 
 	curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (answer->is_too_large)
+	if (answer->abort_cause == DWS_LOSS_TOO_LARGE)
 		status = DWS_HTTP_ANSWER_TOO_LARGE;
 	else if (code != CURLE_OK ||
 		 !dws_http_answer_is_delimited(answer, transfer->easy, status))
--- a/src/process/enum_names.c
+++ b/src/process/enum_names.c
@@ -49,6 +49,17 @@
 	[DWS_REASON_DOWNSTREAM_OVERLOAD] = "crowded-below",
 };
 
+static const char *const loss_names[DWS_LOSS_COUNT] = {
+	[DWS_LOSS_NONE] = "none",
+	[DWS_LOSS_CONNECTION] = "connection",
+	[DWS_LOSS_TIMEOUT] = "timeout",
+	[DWS_LOSS_BODY_CUT] = "body-cut",
+	[DWS_LOSS_TOO_LARGE] = "too-large",
+	[DWS_LOSS_OTHER_REQUEST] = "other-request",
+	[DWS_LOSS_UNFRAMED] = "unframed",
+	[DWS_LOSS_UNCERTAIN] = "uncertain",
+};
+
 /* Returns the name of a value; "unknown-value" if the table has none. */
 static const char *name_of(const char *const *names, size_t count,
 			   unsigned int value)
@@ -77,3 +88,8 @@
 {
 	return name_of(reason_names, G_N_ELEMENTS(reason_names), reason);
 }
+
+const char *dws_loss_name(dws_loss_t loss)
+{
+	return name_of(loss_names, G_N_ELEMENTS(loss_names), loss);
+}
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -504,6 +504,17 @@
 	return reply;
 }
 
+/* Logs why the answer to an attempt is lost. */
+static void log_loss(dws_node_t *node, const dws_attempt_t *attempt,
+		     dws_loss_t loss)
+{
+	dws_node_log(node, DWS_LOG_INFO, "answer_lost",
+		     "id=%s kind=%s upstream=%s cause=%s", attempt->attempt_key,
+		     attempt->kind,
+		     dws_membership_self(node->membership)->upstream.id,
+		     dws_loss_name(loss));
+}
+
 /* Handles the end of a dispatch to the upstream. */
 void dws_attempt_on_dispatch_end(dws_node_t *node, uint64_t attempt_id,
 				 const dws_dispatch_outcome_t *outcome)
@@ -520,6 +531,8 @@
 			     node->now_us - attempt->started_us);
 	dws_admission_end(&node->admission, node->now_us, attempt->id,
 			  upstream_time_us(node, attempt), overloaded);
+	if (outcome->result == DWS_DISPATCH_LOST)
+		log_loss(node, attempt, outcome->loss);
 	end_attempt(node, attempt, dispatch_reply(node, attempt, outcome));
 }
 
--- a/src/tool/why.c
+++ b/src/tool/why.c
@@ -51,7 +51,8 @@
 		"reached",     "crowded",
 		"config",      "config_age_ms",
 		"list",	       "share",
-		"load_age_us",
+		"load_age_us", "upstream",
+		"cause",
 	};
 
 	printf("  %s", dws_log_line_get(fields, "event"));
--- a/test/failure/platform.c
+++ b/test/failure/platform.c
@@ -645,6 +645,7 @@
 {
 	platform_t *platform = start_site();
 	why_wait_t lost = {platform, "lost-1", "reason upstream-lost"};
+	why_wait_t cut = {platform, "lost-1", "cause=connection"};
 	why_wait_t unknown = {
 		platform, "route-1",
 		"reason no-route, status 404); decided under version 3"};
@@ -663,6 +664,7 @@
 	CU_ASSERT_TRUE(platform_await(is_refused, platform));
 	CU_ASSERT_EQUAL(status_of(platform, 2, "GET", "/w/a", "room-1"), 503);
 	CU_ASSERT_TRUE(platform_await(is_explained, &lost));
+	CU_ASSERT_TRUE(platform_await(is_explained, &cut));
 	CU_ASSERT_TRUE(platform_await(is_explained, &unknown));
 	CU_ASSERT_TRUE(platform_await(is_explained, &refused));
 	CU_ASSERT_FALSE(is_explained(&none));
--- a/test/unit/test_io_http_client.c
+++ b/test/unit/test_io_http_client.c
@@ -13,29 +13,31 @@
 typedef struct dispatch_case {
 	const char *answer; /* NULL: close the connection; "": no answer */
 	dws_dispatch_result_t result;
+	dws_loss_t loss;
 	bool idempotent;
 	bool refused;
 } dispatch_case_t;
 
 static const dispatch_case_t cases[] = {
-	{"200 A\r\nContent-Length: 2\r\n\r\nok", DWS_DISPATCH_ANSWERED, true,
-	 false},
+	{"200 A\r\nContent-Length: 2\r\n\r\nok", DWS_DISPATCH_ANSWERED,
+	 DWS_LOSS_NONE, true, false},
 	/*
 	 * libcurl would resend this request if it reused the connection of the
 	 * case above.
 	 */
-	{NULL, DWS_DISPATCH_LOST, false, false},
-	{"200 A\r\n" CLOSE "\r\nhalf?", DWS_DISPATCH_LOST, false, false},
-	{"200 A\r\n" CLOSE "Content-Length: 9\r\n\r\nhalf", DWS_DISPATCH_LOST,
+	{NULL, DWS_DISPATCH_LOST, DWS_LOSS_CONNECTION, false, false},
+	{"200 A\r\n" CLOSE "\r\nhalf?", DWS_DISPATCH_LOST, DWS_LOSS_UNFRAMED,
 	 false, false},
+	{"200 A\r\n" CLOSE "Content-Length: 9\r\n\r\nhalf", DWS_DISPATCH_LOST,
+	 DWS_LOSS_BODY_CUT, false, false},
 	{"200 A\r\nContent-Length: 11\r\n\r\n12345678901", DWS_DISPATCH_LOST,
-	 false, false},
+	 DWS_LOSS_TOO_LARGE, false, false},
 	{"503 A\r\nContent-Length: 0\r\ndogwoodshift-outcome: NOT-RUN\r\n\r\n",
-	 DWS_DISPATCH_ANSWERED, false, true},
+	 DWS_DISPATCH_ANSWERED, DWS_LOSS_NONE, false, true},
 	{"500 A\r\nTransfer-Encoding: chunked\r\n"
 	 "Dogwoodshift-Outcome: not-run\r\n\r\n0\r\n\r\n",
-	 DWS_DISPATCH_ANSWERED, false, false},
-	{"", DWS_DISPATCH_LOST, true, false},
+	 DWS_DISPATCH_ANSWERED, DWS_LOSS_NONE, false, false},
+	{"", DWS_DISPATCH_LOST, DWS_LOSS_TIMEOUT, true, false},
 };
 
 static const char *const platform_answers[] = {
@@ -227,6 +229,7 @@
 		CU_ASSERT_EQUAL(
 			dispatch(&upstream, cases[i].idempotent, timeout_us),
 			cases[i].result);
+		CU_ASSERT_EQUAL(upstream.outcome.loss, cases[i].loss);
 		CU_ASSERT_EQUAL(upstream.outcome.not_run, cases[i].refused);
 		CU_ASSERT_EQUAL(upstream.requests, i + 1);
 	}
@@ -287,6 +290,9 @@
 		upstream.answer_delay_us = delay_us;
 		CU_ASSERT_EQUAL(dispatch(&upstream, true, 20 * DWS_US_PER_S),
 				DWS_DISPATCH_LOST);
+		CU_ASSERT_EQUAL(upstream.outcome.loss,
+				delay_us ? DWS_LOSS_CONNECTION
+					 : DWS_LOSS_UNCERTAIN);
 		CU_ASSERT_FALSE(upstream.outcome.not_run);
 		CU_ASSERT_EQUAL(upstream.requests, delay_us ? 2 : 3);
 		upstream.next_answer = NULL;
