Treat an answer cut in its head as lost

Cause: libcurl ends a transfer with CURLE_OK if the connection closes after the status line. The answer was checked for status and framing alone.

Evidence: the execute span of such a request says outcome=complete status=200 at the daemon beside the upstream, and no stream was lost; so the answer was wrong before it went on.

Change: an answer counts only after the empty line that ends its head. That works as libcurl hands on each line, the empty one too, but none that is cut.

--- a/include/dogwoodshift.h
+++ b/include/dogwoodshift.h
@@ -195,6 +195,7 @@
 	DWS_LOSS_NONE,
 	DWS_LOSS_CONNECTION, /* it failed, or what came is not HTTP */
 	DWS_LOSS_TIMEOUT, /* no whole answer in time */
+	DWS_LOSS_HEAD_CUT, /* the connection ended within the head */
 	DWS_LOSS_BODY_CUT, /* the connection ended within the body */
 	DWS_LOSS_TOO_LARGE, /* a limit on the head or the body was exceeded */
 	DWS_LOSS_OTHER_REQUEST, /* the answer names another request */
--- a/src/connection/http_answer_io.c
+++ b/src/connection/http_answer_io.c
@@ -127,12 +127,19 @@
 /* Discards the headers of the preceding interim answer. */
 static void start_head(dws_http_answer_t *answer)
 {
+	answer->has_whole_head = false;
 	answer->is_chunked = false;
 	answer->has_not_run_header = false;
 	if (answer->headers)
 		g_string_set_size(answer->headers, 0);
 }
 
+/* True for the empty line that ends a head or a trailer. */
+static bool is_empty_line(const char *line, size_t size_bytes)
+{
+	return line[0] == '\n' || (size_bytes == 2 && line[0] == '\r');
+}
+
 /*
  * CURLOPT_HEADERFUNCTION: evaluates a header. Aborts if the answer is that of
  * another request: its own may still follow on the connection, which therefore
@@ -152,6 +159,8 @@
 		start_head(answer);
 		return size_bytes;
 	}
+	if (is_empty_line(data, size_bytes))
+		answer->has_whole_head = true;
 	if (answer->http_names) {
 		if (is_mismatch(answer, data, size_bytes)) {
 			answer->abort_cause = DWS_LOSS_OTHER_REQUEST;
@@ -179,6 +188,8 @@
 {
 	curl_off_t length = -1;
 
+	if (!answer->has_whole_head)
+		return false;
 	if (answer->is_head_request || answer->is_chunked ||
 	    status == STATUS_NO_CONTENT || status == STATUS_NOT_MODIFIED)
 		return true;
@@ -215,6 +226,9 @@
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 	if (status < STATUS_FIRST_FINAL)
 		return DWS_LOSS_CONNECTION;
+	/* libcurl takes the end of the connection for the end of the head. */
+	if (!answer->has_whole_head)
+		return DWS_LOSS_HEAD_CUT;
 	/* This may answer a resent copy, while the first copy has run. */
 	if (send_count > 1 &&
 	    (answer->has_not_run_header || status == STATUS_MISDIRECTED))
--- a/src/connection/http_answer_io.h
+++ b/src/connection/http_answer_io.h
@@ -31,6 +31,7 @@
 	GString *headers; /* of a routed answer, to be forwarded; else NULL */
 	size_t head_bytes; /* of all heads and trailers received so far */
 	bool is_head_request; /* the answer has no body */
+	bool has_whole_head; /* the empty line after the last head was received */
 	bool is_chunked;
 	bool has_not_run_header;
 	dws_loss_t abort_cause; /* why the transfer was aborted, or NONE */
@@ -46,8 +47,8 @@
 /* Has a transfer deliver its headers and its body to the answer. */
 void dws_http_answer_attach(dws_http_answer_t *answer, CURL *easy);
 /*
- * True if the body of a completed answer was delimited by Content-Length or by
- * chunked encoding, so that truncation is detected.
+ * True if the head of a completed answer is whole and its body was delimited by
+ * Content-Length or by chunked encoding, so that truncation is detected.
  */
 bool dws_http_answer_is_delimited(const dws_http_answer_t *answer, CURL *easy,
 				  long status);
--- a/test/support/platform.c
+++ b/test/support/platform.c
@@ -335,6 +335,15 @@
 	return run;
 }
 
+/* Records a request that the upstream of a VM executes. */
+void platform_record_execution(platform_vm_t *vm, const char *head)
+{
+	g_mutex_lock(&vm->platform->lock);
+	record_request(vm, head);
+	g_cond_broadcast(&vm->platform->changed);
+	g_mutex_unlock(&vm->platform->lock);
+}
+
 static void send_response(int fd, const char *status, const char *headers,
 			  const char *attempt, const char *body)
 {
@@ -378,7 +387,8 @@
 	g_mutex_unlock(&platform->lock);
 }
 
-static void set_reset_on_close(int fd)
+/* Has close() reset a connection. */
+void platform_reset_on_close(int fd)
 {
 	struct linger zero_linger = {.l_onoff = 1, .l_linger = 0};
 
@@ -404,7 +414,7 @@
 	    g_strstr_len(path, (gssize)strcspn(path, " "), "/cut")) {
 		send_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n"
 			      "half");
-		set_reset_on_close(fd);
+		platform_reset_on_close(fd);
 		keep_open = false;
 	} else if (g_strstr_len(path, (gssize)strcspn(path, " "),
 				"/unframed")) {
--- a/test/support/platform.h
+++ b/test/support/platform.h
@@ -126,6 +126,10 @@
 char *platform_header(const char *head, const char *name);
 /* Reads a message head including its empty line; NULL if none was received. */
 char *platform_read_head(int fd);
+/* Records a request that the upstream of a VM executes. */
+void platform_record_execution(platform_vm_t *vm, const char *head);
+/* Has close() reset a connection. */
+void platform_reset_on_close(int fd);
 /* Connects to a daemon's routed listener; receiving times out after 20 s. */
 int platform_connect(platform_vm_t *vm);
 /* Counts the requests executed by upstreams whose head contains the text. */
--- a/test/unit/test_io_http_client.c
+++ b/test/unit/test_io_http_client.c
@@ -7,8 +7,9 @@
 #include "http_names.h"
 #include "io_loop.h"
 
+#define VERSION "HTTP/1.1 "
 #define CLOSE "Connection: close\r\n"
-#define CONNECTIONS_MAX 1600
+#define CONNECTIONS_MAX 8000
 
 typedef struct dispatch_case {
 	const char *answer; /* NULL: close the connection; "": no answer */
@@ -44,6 +45,7 @@
 	"200 A\r\nContent-Length: 4\r\n\r\nnews",
 	"204 A\r\n\r\n",
 	"200 A\r\n" CLOSE "\r\nhalf?",
+	"204 A\r\n" CLOSE,
 	"500 A\r\nContent-Length: 4\r\n\r\nnews",
 };
 
@@ -58,6 +60,8 @@
 	const char *answer;
 	const char *next_answer; /* replaces answer after a request; or NULL */
 	uint32_t answer_delay_us;
+	bool is_cut; /* sends cut_bytes of each answer, then closes */
+	size_t cut_bytes;
 	dws_http_client_t client;
 	uint64_t completed;
 	dws_dispatch_outcome_t outcome;
@@ -75,11 +79,22 @@
 
 		if (!ev_is_active(watcher))
 			continue;
-		io_send_text(watcher->fd, "HTTP/1.1 ");
+		io_send_text(watcher->fd, VERSION);
 		io_send_text(watcher->fd, upstream->answer);
 	}
 }
 
+/* Sends the answer, or its first part; returns whether to keep the connection. */
+static bool send_answer(const upstream_t *upstream, int fd, const char *answer)
+{
+	char *text = g_strconcat(VERSION, answer, NULL);
+
+	io_send(fd, text,
+		upstream->is_cut ? upstream->cut_bytes : strlen(text));
+	g_free(text);
+	return !upstream->is_cut && !strstr(answer, CLOSE);
+}
+
 static void on_request(struct ev_loop *ev, ev_io *watcher, int events)
 {
 	upstream_t *upstream = watcher->data;
@@ -97,11 +112,9 @@
 		g_usleep(upstream->answer_delay_us);
 		if (upstream->next_answer)
 			upstream->answer = upstream->next_answer;
-		if (answer && answer[0]) {
-			io_send_text(watcher->fd, "HTTP/1.1 ");
-			io_send_text(watcher->fd, answer);
-		}
-		if (answer && !strstr(answer, CLOSE))
+		if (answer && !answer[0])
+			return;
+		if (answer && send_answer(upstream, watcher->fd, answer))
 			return;
 	}
 	ev_io_stop(ev, watcher);
@@ -199,18 +212,18 @@
 	return run_dispatch(upstream, &request);
 }
 
-/* Dispatches an idempotent routed request; returns the result. */
-static dws_dispatch_result_t dispatch_routed(upstream_t *upstream,
-					     const char *attempt_key)
+/* Dispatches a routed request; returns the result. */
+static dws_dispatch_result_t
+dispatch_routed(upstream_t *upstream, const char *attempt_key, bool idempotent)
 {
 	const dws_dispatch_t request = {
 		.attempt_id = 8,
-		.method = "GET",
+		.method = idempotent ? "GET" : "POST",
 		.path = "/a",
 		.is_routed = true,
 		.attempt_key = attempt_key,
 		.deadline_us = 20 * DWS_US_PER_S,
-		.idempotent = true,
+		.idempotent = idempotent,
 	};
 
 	return run_dispatch(upstream, &request);
@@ -236,6 +249,65 @@
 	stop_upstream(&upstream);
 }
 
+/*
+ * An answer that ends at any byte of its head, its body or its trailer reaches
+ * nobody as a success: neither to an idempotent nor to a non-idempotent
+ * request, routed or not. Without a length, the end of the connection is the
+ * end of the body, so that only a cut in the head can be known. A chunked body
+ * is whole once its last chunk has come (RFC 9112, section 8): libcurl accepts
+ * that the final line feed is missing.
+ */
+static void test_answer_cut_anywhere(void)
+{
+	static const struct {
+		const char *answer;
+		const char *uncut; /* the end of answer, which is not cut */
+	} wholes[] = {
+		{"200 A\r\nAttempt-Id: a-1\r\nResponse-Signature: s\r\n"
+		 "Content-Length: 2\r\n\r\nok",
+		 ""},
+		{"200 A\r\nContent-Length: 0\r\nAttempt-Id: a-1\r\n"
+		 "Response-Signature: s\r\n\r\n",
+		 ""},
+		{"200 A\r\nTransfer-Encoding: chunked\r\nAttempt-Id: a-1\r\n"
+		 "Response-Signature: s\r\n\r\n2\r\nok\r\n0\r\n"
+		 "X-Trailer: t\r\n\r\n",
+		 "\n"},
+		{"200 A\r\nAttempt-Id: a-1\r\nResponse-Signature: s\r\n"
+		 "Connection: close\r\n\r\nok",
+		 "ok"},
+		{"204 A\r\nAttempt-Id: a-1\r\nResponse-Signature: s\r\n\r\n",
+		 ""},
+	};
+	upstream_t *upstream = g_new0(upstream_t, 1);
+
+	start_upstream(upstream);
+	upstream->is_cut = true;
+	for (size_t i = 0; i < G_N_ELEMENTS(wholes); i++) {
+		const char *answer = wholes[i].answer;
+		size_t size = strlen(VERSION) + strlen(answer) -
+			      strlen(wholes[i].uncut);
+
+		upstream->answer = answer;
+		for (size_t cut = 0; cut < size; cut++) {
+			upstream->cut_bytes = cut;
+			CU_ASSERT_EQUAL(dispatch_routed(upstream, "a-1", true),
+					DWS_DISPATCH_LOST);
+			CU_ASSERT_EQUAL(dispatch_routed(upstream, "a-1", false),
+					DWS_DISPATCH_LOST);
+			CU_ASSERT_EQUAL(dispatch(upstream, true, 20000000),
+					DWS_DISPATCH_LOST);
+			CU_ASSERT_EQUAL(dispatch(upstream, false, 20000000),
+					DWS_DISPATCH_LOST);
+		}
+		upstream->cut_bytes = size + strlen(wholes[i].uncut);
+		CU_ASSERT_EQUAL(dispatch_routed(upstream, "a-1", false),
+				DWS_DISPATCH_ANSWERED);
+	}
+	stop_upstream(upstream);
+	g_free(upstream);
+}
+
 static void test_not_sent(void)
 {
 	upstream_t upstream;
@@ -322,12 +394,12 @@
 
 	start_upstream(&upstream);
 	upstream.answer = twice;
-	CU_ASSERT_EQUAL(dispatch_routed(&upstream, "a-1"),
+	CU_ASSERT_EQUAL(dispatch_routed(&upstream, "a-1", true),
 			DWS_DISPATCH_ANSWERED);
 	for (uint32_t i = 0; i < G_N_ELEMENTS(keys); i++) {
 		upstream.answer = answers[i];
 		dws_dispatch_result_t result =
-			dispatch_routed(&upstream, keys[i]);
+			dispatch_routed(&upstream, keys[i], true);
 
 		CU_ASSERT(result == DWS_DISPATCH_ANSWERED ||
 			  (i == 0 && result == DWS_DISPATCH_LOST));
@@ -397,6 +469,7 @@
 {
 	static const suite_test_t tests[] = {
 		{"dispatch", test_dispatch},
+		{"answer cut anywhere", test_answer_cut_anywhere},
 		{"not sent", test_not_sent},
 		{"resend by libcurl", test_resend_by_libcurl},
 		{"platform", test_platform_read},
