Ignore the trailer of an answer

Callers would see: "not run" for a request that has run, or its second run elsewhere, if an upstream's answer in chunks ends with a trailer that holds the marker of a refusal; whole answers lost or with more headers by others.

Cause: libcurl hands the lines of a trailer to the callback of the head, which did not know that the head was over.

Evidence: one answer each on a real connection, the same but for the trailer.

Change: the callback follows the state of the head and ignores what comes after that of the final answer.

--- a/src/connection/http_answer_io.c
+++ b/src/connection/http_answer_io.c
@@ -124,10 +124,20 @@
 		g_string_append_len(answer->headers, line, (gssize)size_bytes);
 }
 
-/* Discards the headers of the preceding interim answer. */
-static void start_head(dws_http_answer_t *answer)
+/* True for a status line such as "HTTP/1.1 103 Early Hints". */
+static bool is_interim_status(const char *line, size_t size_bytes)
 {
-	answer->has_whole_head = false;
+	const char *space = memchr(line, ' ', size_bytes);
+
+	return space && space + 1 < line + size_bytes && space[1] == '1';
+}
+
+/* Reads a status line; discards the headers of the preceding interim answer. */
+static void start_head(dws_http_answer_t *answer, const char *line,
+		       size_t size_bytes)
+{
+	answer->head_state = DWS_HEAD_OPEN;
+	answer->is_interim = is_interim_status(line, size_bytes);
 	answer->is_chunked = false;
 	answer->has_not_run_header = false;
 	if (answer->headers)
@@ -141,9 +151,30 @@
 }
 
 /*
- * CURLOPT_HEADERFUNCTION: evaluates a header. Aborts if the answer is that of
- * another request: its own may still follow on the connection, which therefore
- * must not be used again.
+ * Evaluates a header line. Returns false if the answer is that of another
+ * request: its own may still follow on the connection, which therefore must not
+ * be used again.
+ */
+static bool add_header(dws_http_answer_t *answer, const char *line,
+		       size_t size_bytes)
+{
+	if (answer->http_names) {
+		if (is_mismatch(answer, line, size_bytes)) {
+			answer->abort_cause = DWS_LOSS_OTHER_REQUEST;
+			return false;
+		}
+		collect_routed_header(answer, line, size_bytes);
+	}
+	if (is_header(line, size_bytes, "Transfer-Encoding", "chunked"))
+		answer->is_chunked = true;
+	if (is_header(line, size_bytes, "Dogwoodshift-Outcome", "not-run"))
+		answer->has_not_run_header = true;
+	return true;
+}
+
+/*
+ * CURLOPT_HEADERFUNCTION: reads a line of a head or a trailer. A trailer is
+ * ignored: whether a request has run is told by the head.
  */
 static size_t on_header(char *data, size_t size, size_t count, void *user)
 {
@@ -155,23 +186,16 @@
 		answer->abort_cause = DWS_LOSS_TOO_LARGE;
 		return 0;
 	}
-	if (size_bytes >= 5 && memcmp(data, "HTTP/", 5) == 0) {
-		start_head(answer);
-		return size_bytes;
-	}
-	if (is_empty_line(data, size_bytes))
-		answer->has_whole_head = true;
-	if (answer->http_names) {
-		if (is_mismatch(answer, data, size_bytes)) {
-			answer->abort_cause = DWS_LOSS_OTHER_REQUEST;
+	if (answer->head_state == DWS_HEAD_AWAITED) {
+		start_head(answer, data, size_bytes);
+	} else if (answer->head_state == DWS_HEAD_OPEN) {
+		if (is_empty_line(data, size_bytes))
+			answer->head_state = answer->is_interim
+						     ? DWS_HEAD_AWAITED
+						     : DWS_HEAD_WHOLE;
+		else if (!add_header(answer, data, size_bytes))
 			return 0;
-		}
-		collect_routed_header(answer, data, size_bytes);
 	}
-	if (is_header(data, size_bytes, "Transfer-Encoding", "chunked"))
-		answer->is_chunked = true;
-	if (is_header(data, size_bytes, "Dogwoodshift-Outcome", "not-run"))
-		answer->has_not_run_header = true;
 	return size_bytes;
 }
 
@@ -188,7 +212,7 @@
 {
 	curl_off_t length = -1;
 
-	if (!answer->has_whole_head)
+	if (answer->head_state != DWS_HEAD_WHOLE)
 		return false;
 	if (answer->is_head_request || answer->is_chunked ||
 	    status == STATUS_NO_CONTENT || status == STATUS_NOT_MODIFIED)
@@ -227,7 +251,7 @@
 	if (status < STATUS_FIRST_FINAL)
 		return DWS_LOSS_CONNECTION;
 	/* libcurl takes the end of the connection for the end of the head. */
-	if (!answer->has_whole_head)
+	if (answer->head_state != DWS_HEAD_WHOLE)
 		return DWS_LOSS_HEAD_CUT;
 	/* This may answer a resent copy, while the first copy has run. */
 	if (send_count > 1 &&
--- a/src/connection/http_answer_io.h
+++ b/src/connection/http_answer_io.h
@@ -21,6 +21,13 @@
 	size_t used_bytes;
 } dws_answer_quota_t;
 
+/* How much of the heads of a transfer has been received. */
+typedef enum dws_head_state {
+	DWS_HEAD_AWAITED, /* nothing, or interim answers alone */
+	DWS_HEAD_OPEN, /* a status line, but no empty line after it */
+	DWS_HEAD_WHOLE, /* that of the final answer; a trailer may follow */
+} dws_head_state_t;
+
 typedef struct dws_http_answer {
 	/* Set for an answer to a routed request, else NULL. */
 	const dws_http_names_t *http_names;
@@ -31,7 +38,8 @@
 	GString *headers; /* of a routed answer, to be forwarded; else NULL */
 	size_t head_bytes; /* of all heads and trailers received so far */
 	bool is_head_request; /* the answer has no body */
-	bool has_whole_head; /* the empty line after the last head was received */
+	dws_head_state_t head_state;
+	bool is_interim; /* the head that is open is that of a 1xx answer */
 	bool is_chunked;
 	bool has_not_run_header;
 	dws_loss_t abort_cause; /* why the transfer was aborted, or NONE */
--- a/test/unit/test_io_http_client.c
+++ b/test/unit/test_io_http_client.c
@@ -65,6 +65,7 @@
 	dws_http_client_t client;
 	uint64_t completed;
 	dws_dispatch_outcome_t outcome;
+	char headers[256]; /* of the outcome */
 	bool platform_ok;
 	char text[16];
 } upstream_t;
@@ -138,6 +139,8 @@
 	upstream_t *upstream = context;
 
 	upstream->outcome = *outcome;
+	g_strlcpy(upstream->headers, outcome->headers ? outcome->headers : "",
+		  sizeof(upstream->headers));
 	upstream->completed++;
 }
 
@@ -308,6 +311,54 @@
 	g_free(upstream);
 }
 
+/*
+ * Guards against a trailer taking part in the head: it could name another
+ * request, add headers, or have a request that has run told as one that hasn't,
+ * which is then run again.
+ */
+static void test_trailer_is_ignored(void)
+{
+	static const char *const trailers[] = {
+		"X-Trailer: t\r\n",
+		"Not-Executed: 1\r\n",
+		"Dogwoodshift-Outcome: not-run\r\n",
+		"Attempt-Id: a-2\r\n",
+		"Response-Signature: other\r\n",
+	};
+	static const char head[] = "Attempt-Id: a-1\r\n"
+				   "Response-Signature: s\r\n";
+	upstream_t upstream;
+
+	start_upstream(&upstream);
+	for (size_t i = 0; i < G_N_ELEMENTS(trailers); i++) {
+		char *answer = g_strconcat(
+			"200 A\r\nTransfer-Encoding: chunked\r\n", head,
+			"\r\n2\r\nok\r\n0\r\n", trailers[i], "\r\n", NULL);
+
+		upstream.answer = answer;
+		CU_ASSERT_EQUAL(dispatch_routed(&upstream, "a-1", i % 2),
+				DWS_DISPATCH_ANSWERED);
+		CU_ASSERT_EQUAL(upstream.outcome.status, 200);
+		CU_ASSERT_FALSE(upstream.outcome.not_run);
+		CU_ASSERT_STRING_EQUAL(upstream.headers, head);
+		g_free(answer);
+	}
+	/* One that is malformed spoils the answer, but is no refusal. */
+	upstream.answer = "200 A\r\nTransfer-Encoding: chunked\r\n"
+			  "Attempt-Id: a-1\r\n\r\n0\r\n"
+			  "HTTP/1.1 503 B\r\nNot-Executed: 1\r\n\r\n";
+	CU_ASSERT_EQUAL(dispatch_routed(&upstream, "a-1", false),
+			DWS_DISPATCH_LOST);
+	/* A refusal is one by its head alone. */
+	upstream.answer = "503 A\r\nTransfer-Encoding: chunked\r\n"
+			  "Attempt-Id: a-1\r\n\r\n"
+			  "0\r\nNot-Executed: 1\r\n\r\n";
+	CU_ASSERT_EQUAL(dispatch_routed(&upstream, "a-1", false),
+			DWS_DISPATCH_LOST);
+	CU_ASSERT_EQUAL(upstream.outcome.loss, DWS_LOSS_UNCERTAIN);
+	stop_upstream(&upstream);
+}
+
 static void test_not_sent(void)
 {
 	upstream_t upstream;
@@ -470,6 +521,7 @@
 	static const suite_test_t tests[] = {
 		{"dispatch", test_dispatch},
 		{"answer cut anywhere", test_answer_cut_anywhere},
+		{"trailer is ignored", test_trailer_is_ignored},
 		{"not sent", test_not_sent},
 		{"resend by libcurl", test_resend_by_libcurl},
 		{"platform", test_platform_read},
