Close the connection of a refusal

Callers saw, after a faulty upstream had written an earlier refusal once more on a kept connection: 503 for an idempotent request that was running, through the daemon of the upstream and through another one (a report of other operators). Non-idempotent requests have a connection each; none was affected.

Cause: a refusal names no request, so that its copy passes for the answer to the next request on the connection.

Evidence: with Attempt-Id in the copy the log says answer_lost cause=other-request and the caller gets 502; without it the execute span says not-run reason=upstream-shed.

Change: the connection of a refusal is not used again, so that a copy meets no request.

Measured: before, repeated_answers failed 12 assertions and "refusal ends its connection" 2; after, both pass.

--- a/src/connection/http_answer_io.c
+++ b/src/connection/http_answer_io.c
@@ -132,9 +132,20 @@
 	return true;
 }
 
+/* True if the upstream says that it has not run the request. */
+static bool is_refusal(const dws_http_answer_t *answer)
+{
+	return answer->has_not_run_header ||
+	       answer->head.status == STATUS_MISDIRECTED;
+}
+
 /*
  * CURLOPT_HEADERFUNCTION: reads a line of a head or a trailer. A trailer is
  * ignored: whether a request has run is told by the head.
+ *
+ * The connection of a refusal is not used again. Refusals need not name their
+ * request, so that a second copy of one could not be told from a refusal of the
+ * next request, which runs.
  */
 static size_t on_header(char *data, size_t size, size_t count, void *user)
 {
@@ -155,6 +166,8 @@
 	}
 	if (kind == DWS_HEAD_LINE_STATUS)
 		start_head(answer);
+	if (kind == DWS_HEAD_LINE_END && is_refusal(answer))
+		curl_easy_setopt(answer->easy, CURLOPT_FORBID_REUSE, 1L);
 	if (kind == DWS_HEAD_LINE_HEADER &&
 	    !add_header(answer, data, size_bytes))
 		return 0;
@@ -163,6 +176,7 @@
 
 void dws_http_answer_attach(dws_http_answer_t *answer, CURL *easy)
 {
+	answer->easy = easy;
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, answer);
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
@@ -192,28 +206,26 @@
 }
 
 /* True for answers that tell the caller that its request did not run. */
-static bool means_not_run(long status)
+static bool means_not_run(uint16_t status)
 {
 	return status == STATUS_TIMEOUT || status == STATUS_TOO_MANY ||
 	       status == STATUS_UNAVAILABLE;
 }
 
-dws_loss_t dws_http_answer_loss(const dws_http_answer_t *answer, CURL *easy,
-				CURLcode code, uint32_t send_count)
+dws_loss_t dws_http_answer_loss(const dws_http_answer_t *answer, CURLcode code,
+				uint32_t send_count)
 {
-	long status = 0;
+	uint16_t status = answer->head.status;
 
 	if (code != CURLE_OK)
 		return transfer_loss(answer, code);
-	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 	if (status < STATUS_FIRST_FINAL)
 		return DWS_LOSS_CONNECTION;
 	/* libcurl takes the end of the connection for the end of the head. */
 	if (answer->head.state != DWS_HEAD_WHOLE)
 		return DWS_LOSS_HEAD_CUT;
 	/* This may answer a resent copy, while the first copy has run. */
-	if (send_count > 1 &&
-	    (answer->has_not_run_header || status == STATUS_MISDIRECTED))
+	if (send_count > 1 && is_refusal(answer))
 		return DWS_LOSS_UNCERTAIN;
 	if (!answer->http_names)
 		return dws_http_answer_is_delimited(answer, status)
--- a/src/connection/http_answer_io.h
+++ b/src/connection/http_answer_io.h
@@ -25,6 +25,7 @@
 typedef struct dws_http_answer {
 	/* Set for an answer to a routed request, else NULL. */
 	const dws_http_names_t *http_names;
+	CURL *easy; /* its transfer; NULL until dws_http_answer_attach() */
 	dws_answer_quota_t *quota; /* NULL: limited by body_max_bytes only */
 	size_t body_max_bytes;
 	char *attempt_key; /* that a routed answer must not contradict, or "" */
@@ -59,7 +60,7 @@
  * an answer is passed on only if the upstream confirms this by its not-run
  * header.
  */
-dws_loss_t dws_http_answer_loss(const dws_http_answer_t *answer, CURL *easy,
-				CURLcode code, uint32_t send_count);
+dws_loss_t dws_http_answer_loss(const dws_http_answer_t *answer, CURLcode code,
+				uint32_t send_count);
 
 #endif
--- a/src/connection/http_client_io.c
+++ b/src/connection/http_client_io.c
@@ -440,8 +440,8 @@
 	dws_http_client_t *client = transfer->client;
 	dws_dispatch_outcome_t outcome = {0};
 
-	outcome.loss = dws_http_answer_loss(&transfer->answer, transfer->easy,
-					    code, transfer->send_count);
+	outcome.loss = dws_http_answer_loss(&transfer->answer, code,
+					    transfer->send_count);
 	if (is_unsent(transfer, code)) {
 		outcome.result = DWS_DISPATCH_NOT_SENT;
 		outcome.loss = DWS_LOSS_NONE;
--- a/src/connection/http_head.c
+++ b/src/connection/http_head.c
@@ -6,9 +6,11 @@
 #include <glib.h>
 #include <string.h>
 
+#define STATUS_DIGITS 3
+
 static void start_head(dws_http_head_t *head)
 {
-	head->is_interim = false;
+	head->status = 0;
 	head->is_chunked = false;
 	head->length_bytes = DWS_HTTP_NO_LENGTH;
 }
@@ -55,12 +57,26 @@
 	return line[0] == '\n' || (size_bytes == 2 && line[0] == '\r');
 }
 
-/* True for a status line such as "HTTP/1.1 103 Early Hints". */
-static bool is_interim_status(const char *line, size_t size_bytes)
+/* Reads the status of a line such as "HTTP/1.1 103 Early Hints"; 0 if none. */
+static uint16_t read_status(const char *line, size_t size_bytes)
 {
 	const char *space = memchr(line, ' ', size_bytes);
+	uint16_t status = 0;
+
+	if (!space)
+		return 0;
+	for (const char *at = space + 1;
+	     at < line + size_bytes && at <= space + STATUS_DIGITS &&
+	     g_ascii_isdigit(*at);
+	     at++)
+		status = (uint16_t)(status * 10 + (*at - '0'));
+	return status;
+}
 
-	return space && space + 1 < line + size_bytes && space[1] == '1';
+/* True if an answer of this status is followed by another one. */
+static bool is_interim(uint16_t status)
+{
+	return status / 100 == 1;
 }
 
 /* The length of a line without its line end, which is CRLF or LF. */
@@ -141,12 +157,12 @@
 	if (head->state == DWS_HEAD_AWAITED) {
 		start_head(head);
 		head->state = DWS_HEAD_OPEN;
-		head->is_interim = is_interim_status(line, size_bytes);
+		head->status = read_status(line, size_bytes);
 		return DWS_HEAD_LINE_STATUS;
 	}
 	if (is_empty(line, size_bytes)) {
-		head->state =
-			head->is_interim ? DWS_HEAD_AWAITED : DWS_HEAD_WHOLE;
+		head->state = is_interim(head->status) ? DWS_HEAD_AWAITED
+						       : DWS_HEAD_WHOLE;
 		return DWS_HEAD_LINE_END;
 	}
 	return read_header(head, line, size_bytes) ? DWS_HEAD_LINE_HEADER
--- a/src/connection/http_head.h
+++ b/src/connection/http_head.h
@@ -35,7 +35,7 @@
 
 typedef struct dws_http_head {
 	dws_head_state_t state;
-	bool is_interim; /* the head that is open is that of a 1xx answer */
+	uint16_t status; /* 0 if the status line has none */
 	bool is_chunked;
 	int64_t length_bytes; /* Content-Length, or DWS_HTTP_NO_LENGTH */
 } dws_http_head_t;
--- /dev/null
+++ b/test/failure/repeated_answers.c
@@ -0,0 +1,227 @@
+/*
+ * Upstreams that write an earlier answer once more on a kept connection, while
+ * the next request runs there: its caller is not told that it has not run, and
+ * a non-idempotent request runs once. With real daemons, through that of the
+ * upstream and through another one.
+ */
+#include <CUnit/CUnit.h>
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "support/platform.h"
+#include "support/suite.h"
+
+#define MAX_FDS 4096
+/* Time between the copy and the answer of the request that runs. */
+#define WORK_US 30000
+#define ROUNDS 4
+
+static const char listeners[] =
+	"[{\"host\":\"shop.example\",\"policy\":["
+	"{\"name\":\"w\",\"kind\":\"idempotent\",\"priority\":1,"
+	"\"target_latency\":\"2s\",\"match\":{\"prefix\":\"/w/\"},\"action\":"
+	"{\"service\":\"web\",\"timeout\":\"8s\",\"attempts\":1}},"
+	"{\"name\":\"once\",\"kind\":\"non_idempotent\",\"priority\":1,"
+	"\"target_latency\":\"2s\",\"match\":{\"prefix\":\"/once/"
+	"\"},\"action\":"
+	"{\"service\":\"web\",\"timeout\":\"8s\",\"attempts\":2}}]}]";
+
+/* An answer that the upstream writes, and writes once more. */
+typedef struct repeated_answer {
+	const char *name; /* the last part of the path of its request */
+	const char *format; /* with the id of its request */
+	bool is_refusal;
+} repeated_answer_t;
+
+static const repeated_answer_t repeated_answers[] = {
+	{"busy",
+	 "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	 true},
+	{"busy-with-id",
+	 "HTTP/1.1 503 Busy\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\n"
+	 "Content-Length: 0\r\n\r\n",
+	 true},
+	{"too-many",
+	 "HTTP/1.1 429 Many\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	 true},
+	{"misdirected",
+	 "HTTP/1.1 421 Other\r\nInstance-Id: u-9\r\nContent-Length: 0\r\n\r\n",
+	 true},
+	{"done",
+	 "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: old\r\n"
+	 "Content-Length: 3\r\n\r\nold",
+	 false},
+};
+
+/* The copy that is due on a connection. */
+typedef struct due_copy {
+	char *text; /* NULL: none */
+	uint16_t peer_port; /* tells connections with the same descriptor */
+} due_copy_t;
+
+static due_copy_t due_copies[MAX_FDS];
+
+static uint16_t peer_port(int fd)
+{
+	struct sockaddr_in peer = {0};
+	socklen_t length = sizeof(peer);
+
+	getpeername(fd, (struct sockaddr *)&peer, &length);
+	return ntohs(peer.sin_port);
+}
+
+static void set_due_copy(int fd, char *text)
+{
+	g_free(due_copies[fd].text);
+	due_copies[fd].text = text;
+	due_copies[fd].peer_port = peer_port(fd);
+}
+
+static void send_due_copy(int fd)
+{
+	const due_copy_t *copy = &due_copies[fd];
+
+	if (copy->text && copy->peer_port == peer_port(fd))
+		platform_send(fd, copy->text, strlen(copy->text));
+	set_due_copy(fd, NULL);
+}
+
+/* True if the last part of a request's path is a name. */
+static bool has_name(const char *head, const char *name)
+{
+	const char *path = strchr(head, ' ') + 1;
+	char *text = g_strndup(path, strcspn(path, " "));
+	const char *last = strrchr(text, '/');
+	bool same = last && strcmp(last + 1, name) == 0;
+
+	g_free(text);
+	return same;
+}
+
+/* Runs a request; before its answer comes the copy that is due. */
+static void run_request(platform_vm_t *vm, int fd, const char *head,
+			const char *attempt)
+{
+	char *answer = g_strdup_printf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n"
+				       "Response-Signature: new\r\n"
+				       "Content-Length: 3\r\n\r\nnew",
+				       attempt);
+
+	platform_record_execution(vm, head);
+	send_due_copy(fd);
+	g_usleep(WORK_US);
+	platform_send(fd, answer, strlen(answer));
+	g_free(answer);
+}
+
+static bool serve(platform_vm_t *vm, int fd, const char *head,
+		  size_t body_size_bytes)
+{
+	char *attempt = platform_header(head, "Attempt-Id");
+	const repeated_answer_t *repeated = NULL;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(repeated_answers); i++) {
+		if (has_name(head, repeated_answers[i].name))
+			repeated = &repeated_answers[i];
+	}
+	if (repeated) {
+		char *text = g_strdup_printf(repeated->format, attempt);
+
+		platform_send(fd, text, strlen(text));
+		set_due_copy(fd, text);
+	} else {
+		run_request(vm, fd, head, attempt);
+	}
+	g_free(attempt);
+	return true;
+}
+
+/* Starts an upstream of "web" with its daemon, and a daemon beside another. */
+static platform_t *start_site(void)
+{
+	platform_t *platform = g_new0(platform_t, 1);
+
+	platform_start(platform);
+	platform->serve_request = serve;
+	platform_configure(platform, 3, listeners);
+	platform_add_vm(platform, "web");
+	platform_add_vm(platform, "pay");
+	for (int i = 0; i < 2; i++)
+		platform_start_daemon(&platform->vms[i]);
+	for (int i = 0; i < 2; i++)
+		CU_ASSERT_TRUE_FATAL(platform_await_ready(&platform->vms[i]));
+	return platform;
+}
+
+/* Has the upstream answer a request, of which it then owes a copy. */
+static void send_first(platform_t *platform, const repeated_answer_t *repeated)
+{
+	http_exchange_t exchange;
+	char *path = g_strconcat("/w/", repeated->name, NULL);
+
+	platform_request(&platform->vms[0], "GET", "shop.example", path,
+			 "first", &exchange);
+	CU_ASSERT_EQUAL(exchange.status, repeated->is_refusal ? 503 : 200);
+	http_free(&exchange);
+	g_free(path);
+}
+
+/* Sends a request that runs; its caller may not be told that it has not. */
+static void check_next(platform_t *platform, int vm, const char *method,
+		       const char *name)
+{
+	static int request_count;
+	bool is_once = strcmp(method, "POST") == 0;
+	char *id = g_strdup_printf("next-%d.", ++request_count);
+	char *id_line = g_strdup_printf("Attempt-Id: %s\r\n", id);
+	http_exchange_t exchange;
+
+	platform_request(&platform->vms[vm], method, "shop.example",
+			 is_once ? "/once/run" : "/w/run", id, &exchange);
+	if (exchange.status != 200)
+		printf("%s through %d after %s: %ld\n", method, vm, name,
+		       exchange.status);
+	CU_ASSERT(exchange.status == 200 ||
+		  (exchange.status == 502 && !is_once));
+	CU_ASSERT_STRING_EQUAL(http_header(&exchange, "attempt-id"), id);
+	CU_ASSERT_STRING_EQUAL(http_header(&exchange, "response-signature"),
+			       exchange.status == 200 ? "new" : "");
+	CU_ASSERT_EQUAL(platform_count_executions(platform, id_line), 1);
+	http_free(&exchange);
+	g_free(id_line);
+	g_free(id);
+}
+
+/*
+ * Guards against a copy of an earlier answer being taken for that of the next
+ * request, above all a copy of a refusal: its request runs, and its caller would
+ * be told that it has not.
+ */
+static void test_copy_is_not_the_next_answer(void)
+{
+	platform_t *platform = start_site();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(repeated_answers); i++) {
+		for (int round = 0; round < ROUNDS; round++) {
+			const char *method = round % 2 ? "POST" : "GET";
+
+			send_first(platform, &repeated_answers[i]);
+			check_next(platform, round / 2, method,
+				   repeated_answers[i].name);
+		}
+	}
+	platform_stop(platform);
+}
+
+int main(void)
+{
+	static const suite_test_t tests[] = {
+		{"copy is not the next answer",
+		 test_copy_is_not_the_next_answer},
+		{NULL, NULL},
+	};
+
+	return suite_main("repeated answers", tests);
+}
--- a/test/unit/test_io_http_client.c
+++ b/test/unit/test_io_http_client.c
@@ -507,6 +507,36 @@
 	stop_upstream(&upstream);
 }
 
+/*
+ * Guards against a second copy of a refusal meeting the next request, which
+ * runs: the connection of a refusal, routed or not, is not used again.
+ */
+static void test_refusal_ends_its_connection(void)
+{
+	static const char *const refusals[] = {
+		"503 A\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"421 A\r\nContent-Length: 0\r\n\r\n",
+		"503 A\r\nDogwoodshift-Outcome: not-run\r\n"
+		"Content-Length: 0\r\n\r\n",
+	};
+	upstream_t upstream;
+
+	start_upstream(&upstream);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(refusals); i++) {
+		bool is_routed = i < 2;
+
+		upstream.answer = refusals[i];
+		if (is_routed)
+			dispatch_routed(&upstream, "a-1", true);
+		else
+			dispatch(&upstream, true, 20 * DWS_US_PER_S);
+		CU_ASSERT(upstream.outcome.not_run ||
+			  upstream.outcome.misdirected);
+		CU_ASSERT_EQUAL(upstream.connections, i + 1);
+	}
+	stop_upstream(&upstream);
+}
+
 /*
  * Bodies share a quota. One without end is aborted when it is as large as what
  * is left, and returns its memory; another answer then has room again.
@@ -576,6 +606,8 @@
 		{"resend by libcurl", test_resend_by_libcurl},
 		{"platform", test_platform_read},
 		{"surplus answer", test_surplus_answer},
+		{"refusal ends its connection",
+		 test_refusal_ends_its_connection},
 		{"answer quota", test_answer_quota},
 		{"kept connections", test_connections_are_kept},
 		{NULL, NULL},
