Take no requests in the second half of the stop timeout

Callers saw, with a drain_linger_ms of 5 s and a stop_timeout of 6 s: requests sent 3.1 s or more after the stop signal were passed on, and cut off without an answer when the daemon ended, non-idempotent ones among them (a report of other operators). With the settings of deploy/ it was not shown.

Cause: the time in which a stopping daemon takes calls followed from drain_linger_ms alone, its end from stop_timeout alone.

Evidence: all 22 requests that were cut had been sent late and passed on to sound upstreams; the log says drain_ended answers_cut=true at that moment.

Change: half of stop_timeout ends the intake as well. What is taken before has the other half to be answered.

Measured: late_requests "long linger" failed 22 assertions before, and passes; "platform settings" passed before and after.

--- a/src/process/loop_io.c
+++ b/src/process/loop_io.c
@@ -39,6 +39,11 @@
 #define DRAIN_ACCEPT_US DWS_US_PER_S
 /* Percentage of the stop timeout after which the process ends by itself. */
 #define STOP_DEADLINE_PERCENT 90
+/*
+ * Percentage of the stop timeout after which no request is taken any more. What
+ * is taken until then has the rest of the time to be answered.
+ */
+#define STOP_INTAKE_PERCENT 50
 #define PERCENT 100
 #define NS_PER_US 1000
 #define NS_PER_MS 1000000
@@ -98,14 +103,21 @@
 	ev_break(loop->ev, EVBREAK_ALL);
 }
 
-/* True if the process would soon be killed. */
-static bool is_stop_due(const dws_loop_t *loop, int64_t now_us)
+/* True once a percentage of the stop timeout is over, if there is one. */
+static bool is_stop_timeout_used(const dws_loop_t *loop, int64_t now_us,
+				 int64_t percent)
 {
 	int64_t timeout_us = loop->settings.stop_timeout_ms * DWS_US_PER_MS;
 
-	return timeout_us > 0 &&
-	       now_us - loop->drain_started_us >=
-		       timeout_us * STOP_DEADLINE_PERCENT / PERCENT;
+	return timeout_us > 0 && now_us - loop->drain_started_us >=
+					 timeout_us * percent / PERCENT;
+}
+
+/* True once a drain has lasted drain_linger_ms. */
+static bool is_linger_over(const dws_loop_t *loop, int64_t now_us)
+{
+	return now_us - loop->drain_started_us >=
+	       loop->settings.drain_linger_ms * DWS_US_PER_MS;
 }
 
 /* Ends the loop once the drain is complete and the last answers are sent. */
@@ -113,12 +125,12 @@
 {
 	if (!loop->is_draining)
 		return;
-	if (is_stop_due(loop, now_us)) {
+	if (is_stop_timeout_used(loop, now_us, STOP_DEADLINE_PERCENT)) {
 		end_drain(loop, true);
 		return;
 	}
-	if (now_us - loop->drain_started_us >=
-	    loop->settings.drain_linger_ms * DWS_US_PER_MS)
+	if (is_linger_over(loop, now_us) ||
+	    is_stop_timeout_used(loop, now_us, STOP_INTAKE_PERCENT))
 		dws_routed_server_quiesce(&loop->routed_server);
 	if (!loop->drain_ended_us) {
 		if (!dws_node_is_drained(loop->node, now_us))
