Give each transfer a handle of its own

Callers would see: all requests of a daemon lost, as an answer whose head begins with a blank crashes it.

Cause: libcurl 7.88 keeps a pointer to the last header of a transfer in its handle, also after curl_easy_reset(), and extends that freed header by a line that begins with a blank. The client used handles again.

Evidence: AddressSanitizer names a read of a freed header inside curl_multi_socket_action(), freed by an earlier call of it.

Change: handles are used once. Connections belong to the multi handle and are kept, as "kept connections" shows.

--- a/src/connection/http_client_io.c
+++ b/src/connection/http_client_io.c
@@ -33,7 +33,6 @@
 /* Share of the process's memory for the bodies of answers being received. */
 #define ANSWER_MEMORY_DIVISOR 4
 #define ANSWER_QUOTA_DEFAULT_BYTES (256 * BYTES_PER_MB)
-#define IDLE_HANDLES_MAX 256U
 #define IDLE_CONNECTIONS_MAX 1024L
 #define URL_SIZE 128
 #define STATUS_NO_CONTENT 204
@@ -161,30 +160,19 @@
 		       : CURL_PREREQFUNC_OK;
 }
 
-static CURL *acquire_handle(dws_http_client_t *client)
-{
-	if (client->idle_handles->len)
-		return g_ptr_array_steal_index_fast(
-			client->idle_handles, client->idle_handles->len - 1);
-	return curl_easy_init();
-}
-
-static void release_handle(dws_http_client_t *client, CURL *easy)
-{
-	if (client->idle_handles->len >= IDLE_HANDLES_MAX) {
-		curl_easy_cleanup(easy);
-		return;
-	}
-	curl_easy_reset(easy);
-	g_ptr_array_add(client->idle_handles, easy);
-}
-
+/*
+ * Creates a transfer with a handle of its own. A handle that is used again keeps
+ * a pointer to the last header of its previous transfer, which is freed, also
+ * after curl_easy_reset() (libcurl 7.88). libcurl follows it if the first line
+ * of the next head begins with a blank. The connections belong to the
+ * multi handle, so that they are kept.
+ */
 static transfer_t *new_transfer(dws_http_client_t *client)
 {
 	transfer_t *transfer = g_new0(transfer_t, 1);
 
 	transfer->client = client;
-	transfer->easy = acquire_handle(client);
+	transfer->easy = curl_easy_init();
 	g_ptr_array_add(client->transfers, transfer);
 	return transfer;
 }
@@ -197,7 +185,7 @@
 	if (!transfer->done)
 		g_hash_table_remove(client->dispatches, &transfer->attempt_id);
 	curl_multi_remove_handle(client->multi, transfer->easy);
-	release_handle(client, transfer->easy);
+	curl_easy_cleanup(transfer->easy);
 	curl_slist_free_all(transfer->headers);
 	dws_http_answer_finish(&transfer->answer);
 	g_free(transfer);
@@ -546,7 +534,6 @@
 	}
 	client->dispatches = g_hash_table_new(g_int64_hash, g_int64_equal);
 	client->unsent = g_ptr_array_new();
-	client->idle_handles = g_ptr_array_new();
 	client->transfers = g_ptr_array_new();
 	init_watchers(client);
 	curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION,
@@ -565,15 +552,12 @@
 {
 	for (guint left = client->transfers->len; left > 0; left--)
 		free_transfer(g_ptr_array_index(client->transfers, left - 1));
-	for (guint i = 0; i < client->idle_handles->len; i++)
-		curl_easy_cleanup(g_ptr_array_index(client->idle_handles, i));
 	curl_multi_cleanup(client->multi);
 	ev_timer_stop(client->ev, &client->timer);
 	ev_timer_stop(client->ev, &client->unsent_timer);
 	g_ptr_array_foreach(client->unsent, (GFunc)(void (*)(void))g_free,
 			    NULL);
 	g_ptr_array_free(client->unsent, TRUE);
-	g_ptr_array_free(client->idle_handles, TRUE);
 	g_ptr_array_free(client->transfers, TRUE);
 	g_hash_table_destroy(client->dispatches);
 	curl_global_cleanup();
--- a/src/connection/http_client_io.h
+++ b/src/connection/http_client_io.h
@@ -48,7 +48,6 @@
 	ev_timer unsent_timer; /* reports the unsent dispatches */
 	GHashTable *dispatches; /* attempt id to transfer */
 	GPtrArray *unsent; /* attempt ids of dispatches that were not sent */
-	GPtrArray *idle_handles; /* CURL handles for reuse */
 	GPtrArray *transfers; /* all in progress */
 } dws_http_client_t;
 
--- a/test/unit/test_io_http_client.c
+++ b/test/unit/test_io_http_client.c
@@ -10,6 +10,7 @@
 #define VERSION "HTTP/1.1 "
 #define CLOSE "Connection: close\r\n"
 #define CONNECTIONS_MAX 8000
+#define FOLDED_ANSWERS 500
 
 typedef struct dispatch_case {
 	const char *answer; /* NULL: close the connection; "": no answer */
@@ -408,6 +409,30 @@
 	stop_upstream(&upstream);
 }
 
+/*
+ * Guards against a crash: libcurl reads freed memory where the first line of a
+ * head begins with a blank, if its handle has served another transfer.
+ */
+static void test_folded_first_line_does_no_harm(void)
+{
+	upstream_t *upstream = g_new0(upstream_t, 1);
+
+	start_upstream(upstream);
+	for (int i = 0; i < FOLDED_ANSWERS; i++) {
+		upstream->answer = "200 A\r\nAttempt-Id: a-1\r\n"
+				   "X-Last: 0123456789abcdef\r\n"
+				   "Content-Length: 2\r\n\r\nok";
+		CU_ASSERT_EQUAL(dispatch_routed(upstream, "a-1", true),
+				DWS_DISPATCH_ANSWERED);
+		upstream->answer = "200 A\r\n folded: 0123456789abcdef01234567"
+				   "\r\nContent-Length: 2\r\n\r\nok";
+		CU_ASSERT_EQUAL(dispatch_routed(upstream, "a-1", true),
+				DWS_DISPATCH_LOST);
+	}
+	stop_upstream(upstream);
+	g_free(upstream);
+}
+
 static void test_not_sent(void)
 {
 	upstream_t upstream;
@@ -602,6 +627,8 @@
 		{"answer cut anywhere", test_answer_cut_anywhere},
 		{"trailer is ignored", test_trailer_is_ignored},
 		{"malformed head is lost", test_malformed_head_is_lost},
+		{"folded first line does no harm",
+		 test_folded_first_line_does_no_harm},
 		{"not sent", test_not_sent},
 		{"resend by libcurl", test_resend_by_libcurl},
 		{"platform", test_platform_read},
