Refuse heads whose lines end differently

Callers would see: a success whose body begins with headers, if a byte of a head has become a line feed.

Cause: a line feed after lines with CRLF was taken for the empty line that ends the head.

Change: all lines of a head must end like its status line.

--- a/src/connection/http_head.c
+++ b/src/connection/http_head.c
@@ -10,6 +10,7 @@
 
 static void start_head(dws_http_head_t *head)
 {
+	head->has_crlf = false;
 	head->status = 0;
 	head->is_chunked = false;
 	head->length_bytes = DWS_HTTP_NO_LENGTH;
@@ -57,6 +58,11 @@
 	return line[0] == '\n' || (size_bytes == 2 && line[0] == '\r');
 }
 
+static bool ends_with_crlf(const char *line, size_t size_bytes)
+{
+	return size_bytes >= 2 && line[size_bytes - 2] == '\r';
+}
+
 /* Reads the status of a line such as "HTTP/1.1 103 Early Hints"; 0 if none. */
 static uint16_t read_status(const char *line, size_t size_bytes)
 {
@@ -157,9 +163,13 @@
 	if (head->state == DWS_HEAD_AWAITED) {
 		start_head(head);
 		head->state = DWS_HEAD_OPEN;
+		head->has_crlf = ends_with_crlf(line, size_bytes);
 		head->status = read_status(line, size_bytes);
 		return DWS_HEAD_LINE_STATUS;
 	}
+	/* Else an LF among other bytes could pass for the end of the head. */
+	if (ends_with_crlf(line, size_bytes) != head->has_crlf)
+		return DWS_HEAD_LINE_MALFORMED;
 	if (is_empty(line, size_bytes)) {
 		head->state = is_interim(head->status) ? DWS_HEAD_AWAITED
 						       : DWS_HEAD_WHOLE;
--- a/test/unit/test_io_http_client.c
+++ b/test/unit/test_io_http_client.c
@@ -374,6 +374,7 @@
 		"200 A\r\nContent-Length: 2\r\n: no name\r\n",
 		"200 A\r\nContent-Length: 2\r\nX-A: a\rX-B: b\r\n",
 		"200 A\r\nContent-Length: 2\r\nSpaced Name: x\r\n",
+		"200 A\r\nContent-Length: 2\r\n\n",
 		"200 A\r\nContent-Length: 2x0\r\n",
 		"200 A\r\nContent-Length: 2, 2\r\n",
 		"200 A\r\nContent-Length: -2\r\n",
