Pass on only successes that name their request and are signed

What was left is heads with a changed byte in the name of Attempt-Id or Response-Signature: an id was checked only if there was one, and the signature never.

Change: a success of a route without the id of its request or the signature is lost, like one that was cut.

--- a/src/connection/http_answer_io.c
+++ b/src/connection/http_answer_io.c
@@ -75,15 +75,18 @@
 	return size_bytes;
 }
 
-/* True if a header line says that the answer is that of another request. */
-static bool is_mismatch(const dws_http_answer_t *answer, const char *line,
-			size_t size_bytes)
+/* Reads the id that an answer repeats; false if it names another request. */
+static bool read_attempt_key(dws_http_answer_t *answer, const char *line,
+			     size_t size_bytes)
 {
 	const char *name = answer->http_names->attempt_key_header;
 
-	return answer->attempt_key[0] &&
-	       dws_http_header_has_name(line, size_bytes, name) &&
-	       !dws_http_header_is(line, size_bytes, name, answer->attempt_key);
+	if (!answer->attempt_key[0] ||
+	    !dws_http_header_has_name(line, size_bytes, name))
+		return true;
+	answer->has_attempt_key =
+		dws_http_header_is(line, size_bytes, name, answer->attempt_key);
+	return answer->has_attempt_key;
 }
 
 /* Evaluates a header of a routed answer and keeps it to be forwarded. */
@@ -99,6 +102,11 @@
 	if (dws_http_header_has_name(line, size_bytes,
 				     http_names->not_run_header))
 		answer->has_not_run_header = true;
+	if (dws_http_header_has_name(line, size_bytes,
+				     http_names->signature_header) &&
+	    !dws_http_header_is(line, size_bytes, http_names->signature_header,
+				""))
+		answer->has_signature = true;
 	if (!dws_http_names_is_per_hop(http_names, line, length))
 		g_string_append_len(answer->headers, line, (gssize)size_bytes);
 }
@@ -107,6 +115,8 @@
 static void start_head(dws_http_answer_t *answer)
 {
 	answer->has_not_run_header = false;
+	answer->has_attempt_key = false;
+	answer->has_signature = false;
 	if (answer->headers)
 		g_string_set_size(answer->headers, 0);
 }
@@ -120,7 +130,7 @@
 		       size_t size_bytes)
 {
 	if (answer->http_names) {
-		if (is_mismatch(answer, line, size_bytes)) {
+		if (!read_attempt_key(answer, line, size_bytes)) {
 			answer->abort_cause = DWS_LOSS_OTHER_REQUEST;
 			return false;
 		}
@@ -212,6 +222,18 @@
 	       status == STATUS_UNAVAILABLE;
 }
 
+static bool is_success(uint16_t status)
+{
+	return status / 100 == 2;
+}
+
+/* True if an answer names its request and bears the upstream's signature. */
+static bool is_signed(const dws_http_answer_t *answer)
+{
+	return answer->has_signature &&
+	       (answer->has_attempt_key || !answer->attempt_key[0]);
+}
+
 dws_loss_t dws_http_answer_loss(const dws_http_answer_t *answer, CURLcode code,
 				uint32_t send_count)
 {
@@ -233,5 +255,7 @@
 			       : DWS_LOSS_UNFRAMED;
 	if (means_not_run(status) && !answer->has_not_run_header)
 		return DWS_LOSS_UNCERTAIN;
+	if (is_success(status) && !is_signed(answer))
+		return DWS_LOSS_UNSIGNED;
 	return DWS_LOSS_NONE;
 }
--- a/src/connection/http_answer_io.h
+++ b/src/connection/http_answer_io.h
@@ -35,6 +35,8 @@
 	bool is_head_request; /* the answer has no body */
 	dws_http_head_t head;
 	bool has_not_run_header;
+	bool has_attempt_key; /* the head names the request */
+	bool has_signature;
 	dws_loss_t abort_cause; /* why the transfer was aborted, or NONE */
 } dws_http_answer_t;
 
@@ -58,7 +60,8 @@
  * A routed answer may be delimited by the end of its connection. To the caller
  * of a routed request, 408, 429 and 503 mean that the request did not run; such
  * an answer is passed on only if the upstream confirms this by its not-run
- * header.
+ * header. A success of a route counts only with the id of the attempt, if that
+ * has one, and with the signature of the upstream.
  */
 dws_loss_t dws_http_answer_loss(const dws_http_answer_t *answer, CURLcode code,
 				uint32_t send_count);
--- a/src/connection/http_names.h
+++ b/src/connection/http_names.h
@@ -19,6 +19,8 @@
 	const char *target_instance_header;
 	/* Headers of an upstream's answer. */
 	const char *not_run_header; /* if present, the request was not run */
+	/* In each success, next to the id of the attempt. */
+	const char *signature_header;
 	/* Request target on the readiness listener. */
 	const char *ready_path;
 } dws_http_names_t;
--- a/test/unit/test_io_http_client.c
+++ b/test/unit/test_io_http_client.c
@@ -421,7 +421,7 @@
 	start_upstream(upstream);
 	for (int i = 0; i < FOLDED_ANSWERS; i++) {
 		upstream->answer = "200 A\r\nAttempt-Id: a-1\r\n"
-				   "X-Last: 0123456789abcdef\r\n"
+				   "Response-Signature: 0123456789abcdef\r\n"
 				   "Content-Length: 2\r\n\r\nok";
 		CU_ASSERT_EQUAL(dispatch_routed(upstream, "a-1", true),
 				DWS_DISPATCH_ANSWERED);
@@ -507,14 +507,18 @@
 static void test_surplus_answer(void)
 {
 	static const char twice[] =
-		"200 A\r\nAttempt-Id: a-1\r\nContent-Length: 2\r\n\r\nok"
-		"HTTP/1.1 200 A\r\nAttempt-Id: a-1\r\nContent-Length: 2"
-		"\r\n\r\nok";
+		"200 A\r\nAttempt-Id: a-1\r\nResponse-Signature: s\r\n"
+		"Content-Length: 2\r\n\r\nok"
+		"HTTP/1.1 200 A\r\nAttempt-Id: a-1\r\nResponse-Signature: s\r\n"
+		"Content-Length: 2\r\n\r\nok";
 	static const char *const keys[] = {"a-2", "a-3", "a-4"};
 	static const char *const answers[] = {
-		"200 A\r\nAttempt-Id: a-2\r\nContent-Length: 2\r\n\r\nok",
-		"200 A\r\nAttempt-Id: a-3\r\nContent-Length: 2\r\n\r\nok",
-		"200 A\r\nAttempt-Id: a-4\r\nContent-Length: 2\r\n\r\nok",
+		"200 A\r\nAttempt-Id: a-2\r\nResponse-Signature: s\r\n"
+		"Content-Length: 2\r\n\r\nok",
+		"200 A\r\nAttempt-Id: a-3\r\nResponse-Signature: s\r\n"
+		"Content-Length: 2\r\n\r\nok",
+		"200 A\r\nAttempt-Id: a-4\r\nResponse-Signature: s\r\n"
+		"Content-Length: 2\r\n\r\nok",
 	};
 	upstream_t upstream;
 
@@ -533,6 +537,45 @@
 	stop_upstream(&upstream);
 }
 
+/*
+ * Guards against a success that is not the upstream's: one that lacks its
+ * signature, or doesn't name its request.
+ */
+static void test_success_is_signed(void)
+{
+	static const struct {
+		const char *headers;
+		dws_loss_t loss;
+	} heads[] = {
+		{"Attempt-Id: a-1\r\nResponse-Signature: s\r\n", DWS_LOSS_NONE},
+		{"Attempt-Id: a-1\r\n", DWS_LOSS_UNSIGNED},
+		{"Attempt-Id: a-1\r\nResponse-Signature:\r\n",
+		 DWS_LOSS_UNSIGNED},
+		{"Attempt-Id: a-1\r\nResponse-Signatur: s\r\n",
+		 DWS_LOSS_UNSIGNED},
+		{"Response-Signature: s\r\n", DWS_LOSS_UNSIGNED},
+		{"xttempt-Id: a-1\r\nResponse-Signature: s\r\n",
+		 DWS_LOSS_UNSIGNED},
+		{"Attempt-Id: a-2\r\nResponse-Signature: s\r\n",
+		 DWS_LOSS_OTHER_REQUEST},
+	};
+	upstream_t upstream;
+
+	start_upstream(&upstream);
+	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
+		char *answer = g_strconcat("200 A\r\n", heads[i].headers,
+					   "Content-Length: 2\r\n\r\nok", NULL);
+
+		upstream.answer = answer;
+		for (int idempotent = 0; idempotent < 2; idempotent++) {
+			dispatch_routed(&upstream, "a-1", idempotent);
+			CU_ASSERT_EQUAL(upstream.outcome.loss, heads[i].loss);
+		}
+		g_free(answer);
+	}
+	stop_upstream(&upstream);
+}
+
 /*
  * Guards against a second copy of a refusal meeting the next request, which
  * runs: the connection of a refusal, routed or not, is not used again.
@@ -634,6 +677,7 @@
 		{"resend by libcurl", test_resend_by_libcurl},
 		{"platform", test_platform_read},
 		{"surplus answer", test_surplus_answer},
+		{"success is signed", test_success_is_signed},
 		{"refusal ends its connection",
 		 test_refusal_ends_its_connection},
 		{"answer quota", test_answer_quota},
