--- a/test/failure/odd_input.c
+++ b/test/failure/odd_input.c
@@ -12,6 +12,7 @@
 
 #define DEEP_LEVELS 200000
 #define LARGE_ENTRIES 5
+#define KEY_MAX_BYTES 200
 #define LARGE_ENTRY_BYTES (1000 * 1000)
 /* A rule for the paths below /new/. */
 #define NEW_RULE(service)                                                      \
@@ -223,6 +224,46 @@
 	platform_stop(platform);
 }
 
+/*
+ * Checks that the daemons take up a new configuration and a new upstream, and
+ * serve after they have started anew.
+ */
+static void check_store_is_followed(platform_t *platform)
+{
+	write_rules(platform, 4, NEW_RULE("pay"));
+	platform_start_daemon(platform_add_vm(platform, "pay"));
+	CU_ASSERT_TRUE(platform_await_ready(&platform->vms[2]));
+	CU_ASSERT_TRUE(platform_await(is_new_upstream_used, platform));
+	for (int i = 0; i < 3; i++)
+		platform_signal_daemon(&platform->vms[i], SIGKILL, true);
+	for (int i = 0; i < 3; i++)
+		platform_start_daemon(&platform->vms[i]);
+	for (int i = 0; i < 3; i++)
+		CU_ASSERT_TRUE(platform_await_ready(&platform->vms[i]));
+	CU_ASSERT_EQUAL(status_of(&platform->vms[2], "/w/a"), 200);
+	CU_ASSERT_TRUE(platform_await(is_new_upstream_used, platform));
+}
+
+/*
+ * Guards against a key of the greatest size, whose escaped form is three times
+ * as long, keeping the daemons from reading past it. Its value ends the page,
+ * so that the next page begins after the key.
+ */
+static void test_long_key(void)
+{
+	platform_t *platform = start_site(NULL);
+	char *value = g_strnfill(LARGE_ENTRY_BYTES, 'x');
+	char *odd = g_strnfill(KEY_MAX_BYTES - strlen("servers/ab"), '(');
+	char *key = g_strconcat("servers/ab", odd, NULL);
+
+	platform_put(platform, key, value);
+	check_store_is_followed(platform);
+	platform_stop(platform);
+	g_free(key);
+	g_free(odd);
+	g_free(value);
+}
+
 static bool is_new_route_known(void *context)
 {
 	return status_of(context, "/new/a") == 200;
@@ -334,6 +375,7 @@
 {
 	static const suite_test_t tests[] = {
 		{"odd entries", test_odd_entries},
+		{"long key", test_long_key},
 		{"large entries", test_large_entries},
 		{"answers without end", test_answers_without_end},
 		{NULL, NULL},
