--- a/test/failure/odd_input.c
+++ b/test/failure/odd_input.c
@@ -264,6 +264,25 @@
 	g_free(value);
 }
 
+/*
+ * Guards against a NUL character in a key keeping the daemons from reading the
+ * list, from reading past the key where it ends a page, and against its being
+ * taken for the shorter key of an upstream.
+ */
+static void test_nul_in_key(void)
+{
+	platform_t *platform = start_site(NULL);
+	char *value = g_strnfill(LARGE_ENTRY_BYTES, 'x');
+
+	platform_put(platform, "servers/a\\u0000", value);
+	platform_put(platform, "servers/a\\u0000b", "{}");
+	platform_put(platform, "servers/u-0\\u0000", "{}");
+	platform_put(platform, "servers/\\\\u0000", "{}");
+	check_store_is_followed(platform);
+	platform_stop(platform);
+	g_free(value);
+}
+
 static bool is_new_route_known(void *context)
 {
 	return status_of(context, "/new/a") == 200;
@@ -376,6 +395,7 @@
 	static const suite_test_t tests[] = {
 		{"odd entries", test_odd_entries},
 		{"long key", test_long_key},
+		{"NUL in key", test_nul_in_key},
 		{"large entries", test_large_entries},
 		{"answers without end", test_answers_without_end},
 		{NULL, NULL},
--- a/test/support/platform.c
+++ b/test/support/platform.c
@@ -249,7 +249,13 @@
 		at += strlen(prefix);
 		escaped = g_strndup(at, strcspn(at, "& "));
 	}
-	char *text = g_uri_unescape_string(escaped ? escaped : "", NULL);
+	/* Keys hold a NUL character as they are written in JSON. */
+	char **parts = g_strsplit(escaped ? escaped : "", "%00", -1);
+	char *joined = g_strjoinv("\\u0000", parts);
+	char *text = g_uri_unescape_string(joined, NULL);
+
+	g_strfreev(parts);
+	g_free(joined);
 
 	g_free(escaped);
 	g_free(prefix);
--- a/test/unit/test_store_records.c
+++ b/test/unit/test_store_records.c
@@ -210,6 +210,39 @@
 	dws_store_page_finish(&page);
 }
 
+/*
+ * Guards against one key that can't be read hiding the other items of a page,
+ * or passing for the key of an upstream.
+ */
+static void test_odd_keys_of_a_page(void)
+{
+	static const char *const keys[] = {
+		"servers/u-1\\u0000", "servers/u-1\\ud800",
+		"servers/u-1\\udc00", "servers/u-1\\ud800\\u0000",
+		"servers/u-1\xff",    "servers/u-1\\ud83d\\ude00",
+		"servers/\\\\u0000",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		char *text = g_strdup_printf(
+			"{\"items\":[{\"key\":\"%s\",\"rev\":3},"
+			"{\"key\":\"servers/u-1\",\"rev\":4}],\"at_rev\":9}",
+			keys[i]);
+		dws_store_page_t page;
+
+		CU_ASSERT_TRUE_FATAL(dws_store_page_init(&page, "items", text,
+							 strlen(text), NULL));
+		CU_ASSERT_EQUAL_FATAL(page.items->len, 2);
+		const dws_store_item_t *items =
+			(const dws_store_item_t *)(void *)page.items->data;
+
+		CU_ASSERT_STRING_NOT_EQUAL(items[0].key, "servers/u-1");
+		CU_ASSERT_STRING_EQUAL(items[1].key, "servers/u-1");
+		dws_store_page_finish(&page);
+		g_free(text);
+	}
+}
+
 int main(void)
 {
 	static const suite_test_t tests[] = {
@@ -218,6 +251,7 @@
 		{"fields out of range", test_entry_fields_out_of_range},
 		{"malformed texts", test_malformed_texts},
 		{"odd items of a page", test_odd_items_of_a_page},
+		{"odd keys of a page", test_odd_keys_of_a_page},
 		{NULL, NULL},
 	};
 
