Move the end of the daemon into a file of its own

Change: drain_io.c holds when a drain starts, when requests are taken no more and when the loop ends. The log gained what loop_io.c kept for itself, a line with one pair. In a test two strings that make one head are marked as one.

Measured: the unit tests of the connections and the node, and platform, pass.

--- a/src/process/log_io.c
+++ b/src/process/log_io.c
@@ -270,3 +270,14 @@
 	if (log->owns_fd)
 		close(log->fd);
 }
+
+void dws_log_pair(dws_log_t *log, dws_log_level_t level, const char *event,
+		  const char *key, const char *value)
+{
+	GString *fields = g_string_new(NULL);
+
+	if (key)
+		dws_log_append(fields, key, value);
+	dws_log_event(log, level, event, fields->str);
+	g_string_free(fields, TRUE);
+}
--- a/src/process/log_io.h
+++ b/src/process/log_io.h
@@ -38,6 +38,9 @@
  */
 void dws_log_event(dws_log_t *log, dws_log_level_t level, const char *event,
 		   const char *fields);
+/* Logs an event with one key=value pair, or none if key is NULL. */
+void dws_log_pair(dws_log_t *log, dws_log_level_t level, const char *event,
+		  const char *key, const char *value);
 /*
  * Logs a span as an event "span". Spans of successful requests are dropped
  * first when the reader of the log is too slow.
--- a/src/process/loop_io.c
+++ b/src/process/loop_io.c
@@ -15,6 +15,7 @@
 #include <sys/stat.h>
 #include <time.h>
 #include "http_names.h"
+#include "process/drain_io.h"
 #include "process/loop_io.h"
 
 /* Upper bound between two ticks. */
@@ -25,26 +26,6 @@
 #define PAUSE_THRESHOLD_US (500 * DWS_US_PER_MS)
 /* Delay of writing the log buffer, so that lines are batched. */
 #define LOG_FLUSH_DELAY_S 0.05
-/*
- * Time after the end of the drain in which open connections can still send
- * requests and get answers.
- */
-#define DRAIN_GRACE_US (200 * DWS_US_PER_MS)
-/* Time limit for clients that read the last answers slowly. */
-#define DRAIN_FLUSH_TIMEOUT_US (5 * DWS_US_PER_S)
-/*
- * Time after DRAIN_GRACE_US in which connections from the accept queue are
- * still answered; closing the listener would reset them.
- */
-#define DRAIN_ACCEPT_US DWS_US_PER_S
-/* Percentage of the stop timeout after which the process ends by itself. */
-#define STOP_DEADLINE_PERCENT 90
-/*
- * Percentage of the stop timeout after which no request is taken any more. What
- * is taken until then has the rest of the time to be answered.
- */
-#define STOP_INTAKE_PERCENT 50
-#define PERCENT 100
 #define NS_PER_US 1000
 #define NS_PER_MS 1000000
 #define NS_PER_S INT64_C(1000000000)
@@ -72,88 +53,6 @@
 	return (int64_t)now.tv_sec * MS_PER_S + now.tv_nsec / NS_PER_MS;
 }
 
-/* Logs an event with one key=value pair, or none if key is NULL. */
-static void log_pair(dws_loop_t *loop, dws_log_level_t level, const char *event,
-		     const char *key, const char *value)
-{
-	GString *fields = g_string_new(NULL);
-
-	if (key)
-		dws_log_append(fields, key, value);
-	dws_log_event(&loop->log, level, event, fields->str);
-	g_string_free(fields, TRUE);
-}
-
-static void start_drain(dws_loop_t *loop, int64_t now_us, const char *cause)
-{
-	if (loop->is_draining)
-		return;
-	loop->is_draining = true;
-	log_pair(loop, DWS_LOG_INFO, "drain_started", "cause", cause);
-	loop->drain_started_us = now_us;
-	dws_http_server_drain(&loop->server);
-	dws_routed_server_drain(&loop->routed_server);
-	dws_node_drain(loop->node, now_us);
-}
-
-static void end_drain(dws_loop_t *loop, bool answers_cut)
-{
-	log_pair(loop, answers_cut ? DWS_LOG_WARNING : DWS_LOG_INFO,
-		 "drain_ended", "answers_cut", answers_cut ? "true" : "false");
-	ev_break(loop->ev, EVBREAK_ALL);
-}
-
-/* True once a percentage of the stop timeout is over, if there is one. */
-static bool is_stop_timeout_used(const dws_loop_t *loop, int64_t now_us,
-				 int64_t percent)
-{
-	int64_t timeout_us = loop->settings.stop_timeout_ms * DWS_US_PER_MS;
-
-	return timeout_us > 0 && now_us - loop->drain_started_us >=
-					 timeout_us * percent / PERCENT;
-}
-
-/* True once a drain has lasted drain_linger_ms. */
-static bool is_linger_over(const dws_loop_t *loop, int64_t now_us)
-{
-	return now_us - loop->drain_started_us >=
-	       loop->settings.drain_linger_ms * DWS_US_PER_MS;
-}
-
-/* Ends the loop once the drain is complete and the last answers are sent. */
-static void check_drained(dws_loop_t *loop, int64_t now_us)
-{
-	if (!loop->is_draining)
-		return;
-	if (is_stop_timeout_used(loop, now_us, STOP_DEADLINE_PERCENT)) {
-		end_drain(loop, true);
-		return;
-	}
-	if (is_linger_over(loop, now_us) ||
-	    is_stop_timeout_used(loop, now_us, STOP_INTAKE_PERCENT))
-		dws_routed_server_quiesce(&loop->routed_server);
-	if (!loop->drain_ended_us) {
-		if (!dws_node_is_drained(loop->node, now_us))
-			return;
-		loop->drain_ended_us = now_us;
-		dws_http_server_drain(&loop->server);
-		dws_http_server_quiesce(&loop->server);
-	}
-	int64_t elapsed_us = now_us - loop->drain_ended_us;
-	bool has_timed_out = elapsed_us > DRAIN_FLUSH_TIMEOUT_US;
-
-	if (elapsed_us < DRAIN_GRACE_US)
-		return;
-	if (!dws_http_server_is_idle(&loop->server) && !has_timed_out)
-		return;
-	if (!dws_routed_server_is_idle(&loop->routed_server) && !has_timed_out)
-		return;
-	if (elapsed_us < DRAIN_GRACE_US + DRAIN_ACCEPT_US &&
-	    dws_routed_server_accept_pending(&loop->routed_server))
-		return;
-	end_drain(loop, has_timed_out);
-}
-
 /* Ticks the node and schedules the next tick. */
 static void tick(dws_loop_t *loop)
 {
@@ -180,7 +79,7 @@
 	dws_loop_t *loop = watcher->data;
 
 	tick(loop);
-	check_drained(loop, loop->node_time_us);
+	dws_drain_check(loop, loop->node_time_us);
 }
 
 static void on_log_flush(struct ev_loop *ev, ev_timer *watcher, int events)
@@ -215,15 +114,15 @@
 {
 	dws_loop_t *loop = watcher->data;
 
-	start_drain(loop, begin_event(loop), "signal");
+	dws_drain_start(loop, begin_event(loop), "signal");
 }
 
 /* Logs why a message from a peer was refused; frees the error. */
 static void log_refused_message(dws_loop_t *loop, const char *event,
 				GError *error)
 {
-	log_pair(loop, DWS_LOG_WARNING, event, "error",
-		 error ? error->message : "malformed");
+	dws_log_pair(&loop->log, DWS_LOG_WARNING, event, "error",
+		     error ? error->message : "malformed");
 	g_clear_error(&error);
 }
 
@@ -330,7 +229,7 @@
 {
 	dws_loop_t *loop = context;
 
-	start_drain(loop, begin_event(loop), "operator");
+	dws_drain_start(loop, begin_event(loop), "operator");
 }
 
 static bool on_is_ready(void *context)
@@ -474,10 +373,10 @@
 	settings->stop_timeout_ms = updated->stop_timeout_ms;
 	loop->log.level = updated->log_level;
 	dws_node_reload(loop->node, settings);
-	log_pair(loop, needs_restart ? DWS_LOG_WARNING : DWS_LOG_INFO,
-		 "settings_reloaded", "needs_restart",
-		 needs_restart ? "service, zone, upstream or platform"
-			       : "nothing");
+	dws_log_pair(&loop->log, needs_restart ? DWS_LOG_WARNING : DWS_LOG_INFO,
+		     "settings_reloaded", "needs_restart",
+		     needs_restart ? "service, zone, upstream or platform"
+				   : "nothing");
 }
 
 /* Reloads the settings; if they are invalid, the old ones stay in force. */
@@ -491,8 +390,8 @@
 		apply_settings(loop, &updated);
 		return;
 	}
-	log_pair(loop, DWS_LOG_ERROR, "settings_refused", "error",
-		 error->message);
+	dws_log_pair(&loop->log, DWS_LOG_ERROR, "settings_refused", "error",
+		     error->message);
 	g_error_free(error);
 }
 
@@ -632,7 +531,8 @@
 {
 	const dws_listener_t *listeners = loop->server.listeners;
 
-	log_pair(loop, DWS_LOG_INFO, "started", "vm", loop->settings.vm_id);
+	dws_log_pair(&loop->log, DWS_LOG_INFO, "started", "vm",
+		     loop->settings.vm_id);
 	log_address(loop, "callers", &listeners[DWS_LISTENER_CALLERS].address);
 	log_address(loop, "upstream",
 		    &listeners[DWS_LISTENER_UPSTREAM].address);
@@ -756,7 +656,7 @@
 	ev_timer_stop(loop->ev, &loop->log_flush);
 	ev_clear_pending(loop->ev, &loop->tick);
 	ev_loop_destroy(loop->ev);
-	log_pair(loop, DWS_LOG_INFO, "stopped", NULL, NULL);
+	dws_log_pair(&loop->log, DWS_LOG_INFO, "stopped", NULL, NULL);
 	dws_log_finish(&loop->log);
 	g_free(loop->settings_file);
 }
--- a/test/unit/test_io_http_client.c
+++ b/test/unit/test_io_http_client.c
@@ -368,9 +368,9 @@
 static void test_malformed_head_is_lost(void)
 {
 	static const char *const heads[] = {
-		"503 A\r\nNot-Executed: 1\r\nContent-Length: 2\r\n"
-		"HTTP/1.1 200 B\r\n",
 		"200 A\r\nContent-Length: 2\r\nno header\r\n",
+		("503 A\r\nNot-Executed: 1\r\nContent-Length: 2\r\n"
+		 "HTTP/1.1 200 B\r\n"),
 		"200 A\r\nContent-Length: 2\r\n: no name\r\n",
 		"200 A\r\nContent-Length: 2\r\nX-A: a\rX-B: b\r\n",
 		"200 A\r\nContent-Length: 2\r\nSpaced Name: x\r\n",
