Say what the faulty upstreams of a test leave as it is

Cause: two comments of faulty_upstreams did not say what they meant, and a length was counted by hand.

Change: wording, a named text, a percentage. The faults are drawn as before.

--- a/test/failure/faulty_upstreams.c
+++ b/test/failure/faulty_upstreams.c
@@ -16,8 +16,8 @@
 
 #define CALLERS 12
 #define REQUESTS_PER_CALLER 150
-/* Answers without a fault, of 10. */
-#define SOUND_SHARE 5
+/* Percentage of answers without a fault. */
+#define SOUND_PERCENT 50
 /* Longest time until a copy is written. */
 #define COPY_DELAY_MAX_US 40000
 #define BODY_BYTES 40
@@ -107,8 +107,8 @@
 }
 
 /*
- * Puts another byte into a name or a line end of a head. The names matter to
- * whoever reads it, so that no such answer may pass for one with its signature.
+ * Puts another byte into a name or a line end of a head. The values stay as they
+ * are, as a changed one could not be told from what the upstream meant.
  */
 static void spoil_head(char *answer)
 {
@@ -122,20 +122,15 @@
 	*at = bytes[draw(sizeof(bytes) - 1)];
 }
 
-static void wait_for_copy(void)
-{
-	g_usleep((gulong)draw(COPY_DELAY_MAX_US));
-}
-
 /*
- * Copies are written by this thread, after a pause in which the next request
- * may have come: it is read only later, as by an upstream that stutters.
+ * Writes an answer twice. The next request may come during the pause before a
+ * late copy; it is read after the copy.
  */
 static void send_twice(int fd, const char *answer, bool is_late)
 {
 	platform_send(fd, answer, strlen(answer));
 	if (is_late)
-		wait_for_copy();
+		g_usleep((gulong)draw(COPY_DELAY_MAX_US));
 	platform_send(fd, answer, strlen(answer));
 }
 
@@ -150,6 +145,7 @@
 {
 	static const char refusal[] = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
 				      "Content-Length: 0\r\n\r\n";
+	static const char no_answer[] = "\x01 no answer\r\n\r\n";
 	char *framed = framed_answer(id);
 	char *chunked = chunked_answer(id);
 	char *head = signed_head(id);
@@ -170,7 +166,7 @@
 	}
 	if (fault == FAULT_EXTRA_BYTES) {
 		platform_send(fd, framed, strlen(framed));
-		platform_send(fd, "\x01 no answer\r\n\r\n", 15);
+		platform_send(fd, no_answer, strlen(no_answer));
 	}
 	if (fault == FAULT_RESET)
 		platform_reset_on_close(fd);
@@ -185,7 +181,7 @@
 {
 	char *id = platform_header(head, "Attempt-Id");
 	fault_t fault = (fault_t)draw(FAULT_COUNT);
-	bool is_sound = draw(10) < SOUND_SHARE;
+	bool is_sound = draw(100) < SOUND_PERCENT;
 	bool keep_open = true;
 
 	if (is_sound || fault != FAULT_REFUSAL_COPY)
